Meta: Lay down the build, the checks and the first library

Cause: an empty repository.

Change: CMake with one target file per library, a formatter and linter set to the LLVM Coding Standards, setup that installs only missing packages, LibCore with findings, checked JSON reading and digests, and the first design page.

Ruled out: clang-tidy's llvm-include-order, which contradicts the order that clang-format 14 itself produces for angle-bracket includes of this project.

Conclusion: the skeleton stands; libraries can be built side by side.

--- /dev/null
+++ b/Libraries/LibCore/Findings.cpp
@@ -0,0 +1,65 @@
+//===- LibCore/Findings.cpp - Faults of a text, with their places ---------===//
+///
+/// \file
+/// Collects findings and proposes the nearest known name for a misspelt one.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibCore/Findings.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace carobhinge {
+
+void Findings::add(std::string_view Place, std::string_view Expected,
+                   std::string_view Found) {
+  this->Items.push_back(Finding{.Place = std::string(Place),
+                                .Expected = std::string(Expected),
+                                .Found = std::string(Found)});
+}
+
+std::string Findings::report() const {
+  std::string Text;
+  for (const Finding &Item : this->Items) {
+    Text += Item.Place.empty() ? "/" : Item.Place;
+    Text += ": expected " + Item.Expected + ", found " + Item.Found + "\n";
+  }
+  return Text;
+}
+
+FindingsError::FindingsError(Findings Collected)
+    : std::runtime_error(Collected.report()), Collected(std::move(Collected)) {}
+
+/// The Levenshtein distance between two short names.
+static std::size_t editDistance(std::string_view Left, std::string_view Right) {
+  std::vector<std::size_t> Row(Right.size() + 1);
+  std::iota(Row.begin(), Row.end(), 0);
+  for (std::size_t I = 1; I <= Left.size(); ++I) {
+    std::size_t Diagonal = Row[0];
+    Row[0] = I;
+    for (std::size_t J = 1; J <= Right.size(); ++J) {
+      std::size_t Substituted = Diagonal + (Left[I - 1] != Right[J - 1]);
+      Diagonal = Row[J];
+      Row[J] = std::min({Row[J] + 1, Row[J - 1] + 1, Substituted});
+    }
+  }
+  return Row.back();
+}
+
+std::string_view nearestName(std::string_view Name,
+                             std::span<const std::string_view> Known) {
+  // More than a third of the letters wrong is another word, not a slip.
+  std::size_t BestDistance = Name.size() / 3 + 2;
+  std::string_view Best;
+  for (std::string_view Candidate : Known) {
+    std::size_t Distance = editDistance(Name, Candidate);
+    if (Distance < BestDistance) {
+      BestDistance = Distance;
+      Best = Candidate;
+    }
+  }
+  return Best;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibCore/JsonReader.cpp
@@ -0,0 +1,268 @@
+//===- LibCore/JsonReader.cpp - Checked reading of JSON objects -----------===//
+///
+/// \file
+/// Each read notes the member's name, checks its kind and range, and turns a
+/// fault into a finding with a JSON pointer.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibCore/JsonReader.h>
+
+#include <algorithm>
+
+namespace json = boost::json;
+
+namespace carobhinge {
+
+static constexpr std::size_t MaxTextBytes = 4 * 1024 * 1024;
+static constexpr std::size_t MaxDepth = 32;
+static constexpr std::size_t MaxShownBytes = 60;
+
+/// What stands in the text, cut short, for the "found" part of a finding.
+static std::string shown(const json::value &Value) {
+  std::string Text = json::serialize(Value);
+  if (Text.size() > MaxShownBytes)
+    Text = Text.substr(0, MaxShownBytes) + "...";
+  return Text;
+}
+
+/// "line L, column C" of byte \p Offset, both from one.
+static std::string position(std::string_view Text, std::size_t Offset) {
+  std::string_view Before = Text.substr(0, Offset);
+  auto Line = 1 + std::count(Before.begin(), Before.end(), '\n');
+  std::size_t LastBreak = Before.rfind('\n');
+  std::size_t Column =
+      LastBreak == std::string_view::npos ? Offset + 1 : Offset - LastBreak;
+  return "line " + std::to_string(Line) + ", column " + std::to_string(Column);
+}
+
+std::optional<json::value> parseJson(std::string_view Text, Findings &Out) {
+  if (Text.size() > MaxTextBytes) {
+    Out.add("", "at most " + std::to_string(MaxTextBytes) + " bytes",
+            std::to_string(Text.size()) + " bytes");
+    return std::nullopt;
+  }
+  json::parse_options Options;
+  Options.max_depth = MaxDepth;
+  json::stream_parser Parser({}, Options);
+  json::error_code Error;
+  std::size_t Taken = Parser.write_some(Text.data(), Text.size(), Error);
+  if (!Error && Taken == Text.size())
+    Parser.finish(Error);
+  if (!Error && Taken != Text.size())
+    Error = json::error::extra_data;
+  if (Error) {
+    Out.add("", "one JSON value",
+            Error.message() + " at " + position(Text, Taken));
+    return std::nullopt;
+  }
+  return Parser.release();
+}
+
+JsonReader::JsonReader(const json::value &Value, std::string Pointer,
+                       Findings &Out)
+    : Object(Value.if_object()), Pointer(std::move(Pointer)), Out(Out) {
+  if (!this->Object)
+    Out.add(this->Pointer, "an object", shown(Value));
+}
+
+const json::value *JsonReader::find(std::string_view Name) {
+  this->Asked.emplace(Name);
+  return this->Object ? this->Object->if_contains(Name) : nullptr;
+}
+
+bool JsonReader::has(std::string_view Name) const {
+  return this->Object && this->Object->contains(Name);
+}
+
+std::string JsonReader::pointerTo(std::string_view Name) const {
+  std::string Result = this->Pointer + "/";
+  for (char C : Name) {
+    if (C == '~')
+      Result += "~0";
+    else if (C == '/')
+      Result += "~1";
+    else
+      Result += C;
+  }
+  return Result;
+}
+
+void JsonReader::report(std::string_view Name, std::string_view Expected,
+                        std::string_view Found) {
+  this->Out.add(this->pointerTo(Name), Expected, Found);
+}
+
+std::string JsonReader::requiredString(std::string_view Name) {
+  if (!this->has(Name) && this->Object)
+    this->report(Name, "a non-empty string", "nothing");
+  return this->optionalString(Name, "");
+}
+
+std::string JsonReader::optionalString(std::string_view Name,
+                                       std::string_view Default) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return std::string(Default);
+  if (const json::string *Text = Value->if_string(); Text && !Text->empty())
+    return std::string(*Text);
+  this->report(Name, "a non-empty string", shown(*Value));
+  return std::string(Default);
+}
+
+std::int64_t JsonReader::requiredInteger(std::string_view Name,
+                                         IntegerRange Range) {
+  if (!this->has(Name) && this->Object)
+    this->report(Name, "an integer", "nothing");
+  return this->optionalInteger(Name, Range.Least, Range);
+}
+
+std::int64_t JsonReader::optionalInteger(std::string_view Name,
+                                         std::int64_t Default,
+                                         IntegerRange Range) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return Default;
+  const std::int64_t *Number = Value->if_int64();
+  if (Number && *Number >= Range.Least && *Number <= Range.Most)
+    return *Number;
+  this->report(Name,
+               "an integer from " + std::to_string(Range.Least) + " to " +
+                   std::to_string(Range.Most),
+               shown(*Value));
+  return Default;
+}
+
+double JsonReader::optionalNumber(std::string_view Name, double Default,
+                                  double Least, double Most) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return Default;
+  json::error_code Error;
+  auto Number = Value->to_number<double>(Error);
+  if (!Error && Number >= Least && Number <= Most)
+    return Number;
+  this->report(Name,
+               "a number from " + std::to_string(Least) + " to " +
+                   std::to_string(Most),
+               shown(*Value));
+  return Default;
+}
+
+bool JsonReader::optionalBool(std::string_view Name, bool Default) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return Default;
+  if (const bool *Flag = Value->if_bool())
+    return *Flag;
+  this->report(Name, "true or false", shown(*Value));
+  return Default;
+}
+
+std::string
+JsonReader::optionalChoice(std::string_view Name,
+                           std::span<const std::string_view> Allowed) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return std::string(Allowed.front());
+  const json::string *Text = Value->if_string();
+  if (Text &&
+      std::ranges::find(Allowed, std::string_view(*Text)) != Allowed.end())
+    return std::string(*Text);
+  std::string Expected = "one of";
+  for (std::string_view Choice : Allowed)
+    Expected += " " + std::string(Choice);
+  this->report(Name, Expected, shown(*Value));
+  return std::string(Allowed.front());
+}
+
+std::vector<std::string> JsonReader::optionalStrings(std::string_view Name) {
+  std::vector<std::string> Result;
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return Result;
+  const json::array *Array = Value->if_array();
+  if (!Array) {
+    this->report(Name, "an array of strings", shown(*Value));
+    return Result;
+  }
+  for (std::size_t I = 0; I < Array->size(); ++I) {
+    const json::string *Text = (*Array)[I].if_string();
+    if (Text && !Text->empty())
+      Result.emplace_back(*Text);
+    else
+      this->Out.add(this->pointerTo(Name) + "/" + std::to_string(I),
+                    "a non-empty string", shown((*Array)[I]));
+  }
+  return Result;
+}
+
+void JsonReader::eachObject(std::string_view Name,
+                            const std::function<void(JsonReader &)> &Each) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return;
+  const json::array *Array = Value->if_array();
+  if (!Array) {
+    this->report(Name, "an array of objects", shown(*Value));
+    return;
+  }
+  for (std::size_t I = 0; I < Array->size(); ++I) {
+    JsonReader Reader((*Array)[I],
+                      this->pointerTo(Name) + "/" + std::to_string(I),
+                      this->Out);
+    Each(Reader);
+    Reader.finish();
+  }
+}
+
+void JsonReader::eachMember(
+    std::string_view Name,
+    const std::function<void(std::string_view, JsonReader &)> &Each) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return;
+  JsonReader Outer(*Value, this->pointerTo(Name), this->Out);
+  if (!Outer.Object)
+    return;
+  for (const json::key_value_pair &Member : *Outer.Object) {
+    JsonReader Reader(Member.value(), Outer.pointerTo(Member.key()), this->Out);
+    Each(Member.key(), Reader);
+    Reader.finish();
+  }
+}
+
+void JsonReader::optionalObject(std::string_view Name,
+                                const std::function<void(JsonReader &)> &Then) {
+  const json::value *Value = this->find(Name);
+  if (!Value)
+    return;
+  JsonReader Reader(*Value, this->pointerTo(Name), this->Out);
+  Then(Reader);
+  Reader.finish();
+}
+
+void JsonReader::requiredObject(std::string_view Name,
+                                const std::function<void(JsonReader &)> &Then) {
+  if (!this->has(Name) && this->Object)
+    this->report(Name, "an object", "nothing");
+  this->optionalObject(Name, Then);
+}
+
+void JsonReader::finish() {
+  if (!this->Object)
+    return;
+  std::vector<std::string_view> Known(this->Asked.begin(), this->Asked.end());
+  for (const json::key_value_pair &Member : *this->Object) {
+    if (this->Asked.contains(std::string_view(Member.key())))
+      continue;
+    std::string_view Nearest = nearestName(Member.key(), Known);
+    std::string Expected = "a known member";
+    if (!Nearest.empty())
+      Expected += " (did you mean \"" + std::string(Nearest) + "\"?)";
+    this->report(Member.key(), Expected,
+                 "\"" + std::string(Member.key()) + "\"");
+  }
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Meta/CMake/LibCore.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibCore xxhash)
+carobhinge_test(LibCore LibCore)
--- /dev/null
+++ b/Meta/carobhinge.sh
@@ -0,0 +1,96 @@
+#!/usr/bin/env bash
+# The developers' one entry point: run, test, lint, bench, matrix.
+# Each word does its own set-up; a second call finds it done.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/.."
+source Meta/setup.sh
+
+usage() {
+  cat <<'END'
+usage: Meta/carobhinge.sh WORD
+  run            build, start the demonstration and check what it answered
+  test           build and run the test suite
+  test-sanitize  the suite under AddressSanitizer and UBSan
+  test-thread    the threaded parts under ThreadSanitizer
+  lint           formatter and linter, in check mode
+  format         let the formatter rewrite the sources
+  bench NAME     run one benchmark (without NAME: list them)
+  matrix         the fault matrix, whole
+  fuzz           the fuzz targets, bounded and with a fixed seed
+  build          only build
+END
+}
+
+build() { # build TYPE [target...]
+  local type=$1 folder
+  shift
+  folder=Build/$type
+  if [ ! -f "$folder/build.ninja" ]; then
+    cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE="$type" >"$folder.log" 2>&1 ||
+      { cat "$folder.log"; return 1; }
+  fi
+  ninja -C "$folder" -j "$JOBS" --quiet "$@"
+}
+
+run_tests() { # run_tests TYPE [ctest arguments...]
+  local type=$1
+  shift
+  ctest --test-dir "Build/$type" --output-on-failure -j "$JOBS" "$@"
+}
+
+word=${1:-}
+[ $# -gt 0 ] && shift
+case "$word" in
+run)
+  install_packages
+  build Release carobhinge
+  exec Meta/run-demonstration.sh "$@"
+  ;;
+test)
+  install_packages
+  build Release
+  run_tests Release "$@"
+  ;;
+test-sanitize)
+  install_packages
+  build Sanitize
+  run_tests Sanitize "$@"
+  ;;
+test-thread)
+  install_packages
+  build Thread
+  TSAN_OPTIONS="halt_on_error=1 suppressions=$PWD/Meta/tsan-suppressions.txt" \
+    run_tests Thread "$@"
+  ;;
+lint)
+  install_packages
+  build Release
+  exec Meta/lint.sh
+  ;;
+format)
+  install_packages
+  git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs clang-format -i
+  ;;
+bench)
+  install_packages
+  build Release
+  exec Meta/bench.sh "$@"
+  ;;
+matrix)
+  install_packages
+  build Release
+  exec Meta/matrix.sh "$@"
+  ;;
+fuzz)
+  install_packages
+  exec Meta/fuzz.sh "$@"
+  ;;
+build)
+  install_packages
+  build Release "$@"
+  ;;
+*)
+  usage
+  exit 2
+  ;;
+esac
--- /dev/null
+++ b/Tests/LibCore/TestJsonReader.cpp
@@ -0,0 +1,45 @@
+//===- Tests/LibCore/TestJsonReader.cpp - Findings carry their places -----===//
+///
+/// \file
+/// Every fault of a text is reported at once, each with its JSON pointer.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibCore/JsonReader.h>
+#include <gtest/gtest.h>
+
+using namespace carobhinge;
+
+TEST(JsonReader, SyntaxErrorNamesLineAndColumn) {
+  Findings Out;
+  EXPECT_FALSE(parseJson("{\n  \"a\": tru3\n}", Out).has_value());
+  ASSERT_EQ(Out.items().size(), 1U);
+  EXPECT_NE(Out.items()[0].Found.find("line 2"), std::string::npos);
+}
+
+TEST(JsonReader, AllFaultsAreReportedTogether) {
+  Findings Out;
+  auto Value =
+      parseJson(R"({"limits":[{"queue":-1,"quueu":3},7],"a/b":1})", Out);
+  ASSERT_TRUE(Value.has_value());
+  JsonReader Reader(*Value, "", Out);
+  Reader.requiredString("host");
+  Reader.eachObject("limits", [](JsonReader &Each) {
+    Each.optionalInteger("queue", 5, {.Least = 0, .Most = 9});
+  });
+  Reader.finish();
+  ASSERT_EQ(Out.items().size(), 5U);
+  EXPECT_EQ(Out.items()[0].Place, "/host");
+  EXPECT_EQ(Out.items()[1].Place, "/limits/0/queue");
+  EXPECT_EQ(Out.items()[1].Found, "-1");
+  EXPECT_EQ(Out.items()[2].Place, "/limits/0/quueu");
+  EXPECT_NE(Out.items()[2].Expected.find("\"queue\""), std::string::npos);
+  EXPECT_EQ(Out.items()[3].Place, "/limits/1");
+  EXPECT_EQ(Out.items()[4].Place, "/a~1b");
+}
+
+TEST(JsonReader, TextTooDeepIsAFinding) {
+  Findings Out;
+  EXPECT_FALSE(parseJson(std::string(100, '['), Out).has_value());
+  EXPECT_FALSE(Out.empty());
+}
