LibTelemetry: Keep histograms by workspace and class, and JSON-line logs

Cause: operators need to see what each workspace and class got, and auditors need log lines that a program can read.

Conclusion: the serving path can report itself.

--- /dev/null
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -0,0 +1,98 @@
+//===- LibTelemetry/Log.cpp - Structured logs, one JSON object a line -----===//
+///
+/// \file
+/// Formats lines with Boost.JSON and hands them to glog without its prefix.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibTelemetry/Log.h>
+
+#include <array>
+#include <boost/json.hpp>
+#include <chrono>
+#include <ctime>
+#include <glog/logging.h>
+
+namespace json = boost::json;
+
+namespace carobhinge {
+
+static constexpr std::array<std::string_view, 3> SeverityNames = {
+    "info", "warning", "error"};
+
+/// Set by startLog() before any other thread runs.
+static LogOptions Started;
+
+void startLog(const LogOptions &Options) {
+  Started = Options;
+  FLAGS_log_prefix = false;
+  FLAGS_timestamp_in_logfile_name = true;
+  FLAGS_logtostderr = Options.Folder.empty();
+  if (!Options.Folder.empty())
+    FLAGS_log_dir = Options.Folder;
+  FLAGS_minloglevel = static_cast<int>(Options.Least);
+  google::InitGoogleLogging("carobhinge");
+}
+
+void flushLog() { google::FlushLogFiles(google::GLOG_INFO); }
+
+static json::object lineFields(Severity How, std::string_view Event,
+                               std::initializer_list<LogField> Fields) {
+  json::object Line;
+  Line["severity"] = SeverityNames[static_cast<int>(How)];
+  Line["host"] = Started.Host;
+  Line["event"] = Event;
+  for (const LogField &Field : Fields) {
+    if (const auto *Text = std::get_if<std::string_view>(&Field.Value))
+      Line[Field.Name] = *Text;
+    else
+      Line[Field.Name] = std::get<std::int64_t>(Field.Value);
+  }
+  return Line;
+}
+
+std::string formatLogLine(Severity How, std::string_view Event,
+                          std::initializer_list<LogField> Fields) {
+  return json::serialize(lineFields(How, Event, Fields));
+}
+
+/// The wall clock as "2026-12-03T21:42:12.123Z".
+static std::string wallClockText() {
+  auto Now = std::chrono::system_clock::now();
+  auto Seconds = std::chrono::time_point_cast<std::chrono::seconds>(Now);
+  auto Milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now - Seconds);
+  std::time_t Time = std::chrono::system_clock::to_time_t(Seconds);
+  std::tm Parts{};
+  gmtime_r(&Time, &Parts);
+  std::array<char, 48> Text{};
+  std::size_t Length =
+      std::strftime(Text.data(), Text.size(), "%Y-%m-%dT%H:%M:%S", &Parts);
+  std::snprintf(Text.data() + Length, Text.size() - Length, ".%03dZ",
+                static_cast<int>(Milliseconds.count()));
+  return Text.data();
+}
+
+void logEvent(Severity How, std::string_view Event,
+              std::initializer_list<LogField> Fields) {
+  if (How < Started.Least)
+    return;
+  json::object Line;
+  Line["time"] = wallClockText();
+  for (auto &Member : lineFields(How, Event, Fields))
+    Line[Member.key()] = std::move(Member.value());
+  std::string Text = json::serialize(Line);
+  switch (How) {
+  case Severity::Info:
+    LOG(INFO) << Text;
+    break;
+  case Severity::Warning:
+    LOG(WARNING) << Text;
+    break;
+  case Severity::Error:
+    LOG(ERROR) << Text;
+    break;
+  }
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Meta/CMake/LibTelemetry.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibTelemetry LibCore glog)
+carobhinge_test(LibTelemetry LibTelemetry)
--- /dev/null
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -0,0 +1,61 @@
+//===- Tests/LibTelemetry/TestTelemetry.cpp - Figures and log lines -------===//
+///
+/// \file
+/// Histograms are kept apart by workspace and class, and print as collectors
+/// expect them; log lines stay one valid JSON object whatever a field holds.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibTelemetry/Log.h>
+#include <LibTelemetry/Metrics.h>
+
+#include <boost/json.hpp>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <thread>
+
+using namespace carobhinge;
+using ::testing::HasSubstr;
+using ::testing::Not;
+
+TEST(Metrics, SeriesAreKeptByWorkspaceAndClass) {
+  Metrics Kept;
+  TrafficClass Sheets{.Workspace = "centre-1", .Class = "sheet"};
+  TrafficClass Quoted{.Workspace = "a\"b", .Class = "sheet"};
+  Kept.observe(Sheets, Timing::FirstByte, std::chrono::milliseconds(3));
+  Kept.observe(Sheets, Timing::FirstByte, std::chrono::hours(1));
+  Kept.countOutcome(Quoted, "not-run", "queue-full");
+  std::string Text = Kept.render();
+  EXPECT_THAT(Text, HasSubstr("carobhinge_request_first_byte_seconds_bucket{"
+                              "workspace=\"centre-1\",class=\"sheet\","
+                              "le=\"0.004\"} 1\n"));
+  EXPECT_THAT(Text, HasSubstr("le=\"0.002\"} 0\n"));
+  EXPECT_THAT(Text, HasSubstr("le=\"+Inf\"} 2\n"));
+  EXPECT_THAT(Text, HasSubstr("{workspace=\"a\\\"b\",class=\"sheet\",outcome="
+                              "\"not-run\",reason=\"queue-full\"} 1\n"));
+  EXPECT_THAT(Text, Not(HasSubstr("first_byte_seconds_bucket{workspace=\"a")));
+}
+
+TEST(Metrics, CountsFromManyThreadsAddUp) {
+  Metrics Kept;
+  {
+    std::vector<std::jthread> Threads;
+    for (int I = 0; I < 8; ++I)
+      Threads.emplace_back([&Kept] {
+        for (int J = 0; J < 1000; ++J)
+          Kept.countOutcome({.Workspace = "w", .Class = "c"}, "answered", "");
+      });
+  }
+  EXPECT_THAT(Kept.render(), HasSubstr("reason=\"\"} 8000\n"));
+}
+
+TEST(Log, LineIsOneJsonObjectWhateverItHolds) {
+  std::string Line =
+      formatLogLine(Severity::Warning, "request refused",
+                    {{"reason", "line\nbreak \"quoted\""}, {"status", 503}});
+  EXPECT_THAT(Line, Not(HasSubstr("\n")));
+  boost::json::value Value = boost::json::parse(Line);
+  EXPECT_EQ(Value.at("reason").as_string(), "line\nbreak \"quoted\"");
+  EXPECT_EQ(Value.at("status").as_int64(), 503);
+  EXPECT_EQ(Value.at("severity").as_string(), "warning");
+}
