--- /dev/null
+++ b/Libraries/LibStandIn/Announcer.cpp
@@ -0,0 +1,58 @@
+//===- LibStandIn/Announcer.cpp - Announces a stand-in, over and over -----===//
+///
+/// \file
+/// The announcing loop.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibStandIn/Announcer.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace carobhinge {
+
+static constexpr std::size_t MaxAnswerBytes = 64 * 1024;
+
+Announcer::Announcer(asio::any_io_executor Executor,
+                     std::vector<std::string> EntryHosts, Duration Interval,
+                     std::function<Announcement()> Current)
+    : Client(Executor), EntryHosts(std::move(EntryHosts)), Interval(Interval),
+      Current(std::move(Current)), Timer(Executor) {}
+
+asio::awaitable<bool> Announcer::announceNow() {
+  HttpRequest Request{.Method = "POST",
+                      .Target = "/endpoints",
+                      .Headers = {{"Content-Type", "application/json"}},
+                      .Body = toJson(this->Current())};
+  HttpCallOptions Options{.ConnectTimeout = std::chrono::milliseconds(500),
+                          .HeadTimeout = std::chrono::seconds(1)};
+  const std::string &Host = this->EntryHosts[this->NextHost];
+  HttpAnswer Answer = co_await this->Client.fetch(
+      Host, std::move(Request), std::move(Options), MaxAnswerBytes);
+  bool Taken = Answer.End == HttpCallEnd::Complete && Answer.Head.Status < 300;
+  if (!Taken)
+    this->NextHost = (this->NextHost + 1) % this->EntryHosts.size();
+  co_return Taken;
+}
+
+asio::awaitable<void> Announcer::run() {
+  while (!this->Stopped) {
+    // A refused announcement is tried at the next host at once, but each host
+    // only once per interval.
+    for (std::size_t I = 0; I < this->EntryHosts.size(); ++I)
+      if (co_await this->announceNow())
+        break;
+    this->Timer.expires_after(this->Interval);
+    co_await this->Timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+}
+
+void Announcer::stop() {
+  this->Stopped = true;
+  this->Timer.cancel();
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibStandIn/ServiceStandIn.h
@@ -0,0 +1,49 @@
+//===- LibStandIn/ServiceStandIn.h - A plain service for tests ------------===//
+///
+/// \file
+/// A service with calls that must not repeat (POST) and calls that may (GET).
+/// It counts how often it executed each key and checks no fencing number and
+/// no key: keeping a call to one execution is the system's work alone.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBSTANDIN_SERVICESTANDIN_H
+#define LIBSTANDIN_SERVICESTANDIN_H
+
+#include <LibHTTP/HttpServer.h>
+#include <LibStandIn/Announcer.h>
+#include <map>
+#include <memory>
+
+namespace carobhinge {
+
+struct ServiceStandInOptions {
+  std::string Listen;
+  std::vector<std::string> EntryHosts;
+  EndpointName Endpoint;
+  HostName Host;
+  FailureDomainName FailureDomain;
+  FabricDomainName FabricDomain;
+  ServiceName Service;
+  std::uint32_t Concurrency = 16;
+  Duration WorkTime = std::chrono::milliseconds(5);
+  Duration AnnounceInterval = std::chrono::milliseconds(500);
+};
+
+class ServiceStandIn {
+public:
+  /// All work happens on \p Executor, which must be served by one thread.
+  ServiceStandIn(boost::asio::any_io_executor Executor,
+                 ServiceStandInOptions Options);
+  ~ServiceStandIn();
+  void start();
+  boost::asio::awaitable<void> leave();
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> Impl;
+};
+
+} // namespace carobhinge
+
+#endif // LIBSTANDIN_SERVICESTANDIN_H
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -32,7 +32,8 @@
                     TimingBins, LeastBoundSeconds, MostBoundSeconds))};
 }
 
-void Metrics::observe(const TrafficClass &For, Timing What, Duration Length) {
+void Metrics::observe(const TrafficClass &For, RequestTiming What,
+                      Duration Length) {
   double Seconds = std::chrono::duration<double>(Length).count();
   Shard &Kept = this->shardOf(For);
   std::lock_guard Guard(Kept.Lock);
@@ -84,7 +85,7 @@
 }
 
 void Metrics::renderSeries(std::string &Text, const TrafficClass &For,
-                           Timing What, const Series &From) {
+                           RequestTiming What, const Series &From) {
   std::string Name = "carobhinge_request_" +
                      std::string(TimingNames[static_cast<int>(What)]) +
                      "_seconds";
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -23,7 +23,7 @@
 namespace carobhinge {
 
 /// A measured time of a request.
-enum class Timing {
+enum class RequestTiming {
   /// From arrival to the first byte of the answer.
   FirstByte,
   /// Between two chunks of a streamed answer.
@@ -45,7 +45,7 @@
 /// Thread-safe: state is kept in shards, each under its own lock.
 class Metrics {
 public:
-  void observe(const TrafficClass &For, Timing What, Duration Length);
+  void observe(const TrafficClass &For, RequestTiming What, Duration Length);
 
   /// Counts one request that ended with \p Outcome ("answered", "not-run",
   /// "unknown", ...), for the stated \p Reason (may be empty).
@@ -75,7 +75,7 @@
   };
   struct Shard {
     mutable std::mutex Lock;
-    std::map<std::pair<TrafficClass, Timing>, Series> Timings;
+    std::map<std::pair<TrafficClass, RequestTiming>, Series> Timings;
     /// By class, outcome and reason.
     std::map<std::tuple<TrafficClass, std::string, std::string>, std::uint64_t>
         Outcomes;
@@ -84,7 +84,7 @@
   Shard &shardOf(const TrafficClass &For);
   static Series makeSeries();
   static void renderSeries(std::string &Text, const TrafficClass &For,
-                           Timing What, const Series &From);
+                           RequestTiming What, const Series &From);
 
   static constexpr std::size_t ShardCount = 16;
   std::array<Shard, ShardCount> Shards;
--- a/Tests/LibTelemetry/TestTelemetry.cpp
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -22,8 +22,8 @@
   Metrics Kept;
   TrafficClass Sheets{.Workspace = "centre-1", .Class = "sheet"};
   TrafficClass Quoted{.Workspace = "a\"b", .Class = "sheet"};
-  Kept.observe(Sheets, Timing::FirstByte, std::chrono::milliseconds(3));
-  Kept.observe(Sheets, Timing::FirstByte, std::chrono::hours(1));
+  Kept.observe(Sheets, RequestTiming::FirstByte, std::chrono::milliseconds(3));
+  Kept.observe(Sheets, RequestTiming::FirstByte, std::chrono::hours(1));
   Kept.countOutcome(Quoted, "not-run", "queue-full");
   std::string Text = Kept.render();
   EXPECT_THAT(Text, HasSubstr("carobhinge_request_first_byte_seconds_bucket{"
