--- /dev/null
+++ b/Meta/CMake/LibSettings.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibSettings LibCore)
+carobhinge_test(LibSettings LibSettings)
