LibIntent: Parse, check and compare the operators' text

Calls that could both match one request are a finding rather than ranked, and a path with dot segments, empty segments or encoded separators matches no call: a service may read such a path as another one, and a call that must not repeat would then run under the name of one that may. Ranking exact paths before wildcards was weighed and left out for that reason.

--- /dev/null
+++ b/Libraries/LibIntent/IntentParser.cpp
@@ -0,0 +1,361 @@
+//===- LibIntent/IntentParser.cpp - Reading and checking an intent --------===//
+///
+/// \file
+/// First every member is read and checked on its own, then the checks that
+/// span the lists run: names, references, cycles, calls that overlap.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibCore/JsonReader.h>
+#include <LibIntent/Intent.h>
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <set>
+
+namespace carobhinge {
+
+static constexpr std::size_t MaxNameBytes = 64;
+static constexpr std::int64_t MaxCount = 1000000;
+static constexpr std::int64_t MaxDeadlineMs = 24LL * 3600 * 1000;
+static constexpr std::int64_t DefaultQueueLimit = 1000;
+static constexpr std::int64_t DefaultServiceDeadlineMs = 600 * 1000;
+static constexpr std::int64_t DefaultClassDeadlineMs = 60 * 1000;
+static constexpr std::int64_t MaxRetentionDays = 3660;
+static constexpr std::int64_t MaxWarmUpSeconds = 24LL * 3600;
+
+// Checks compare the entries of some lists with each other and follow
+// dependencies by recursion, so the lists are bounded.
+static constexpr std::size_t MaxFailureDomains = 100;
+static constexpr std::size_t MaxWorkspaces = 10000;
+static constexpr std::size_t MaxClasses = 100;
+static constexpr std::size_t MaxServices = 1000;
+static constexpr std::size_t MaxCalls = 200;
+
+static std::string quoted(std::string_view Text) {
+  return "\"" + std::string(Text) + "\"";
+}
+
+/// Names stand in paths, headers, metrics and logs, so they are kept plain.
+static std::string readName(JsonReader &Reader) {
+  std::string Name = Reader.requiredString("name");
+  bool Plain = std::ranges::all_of(Name, [](unsigned char C) {
+    return std::isalnum(C) || C == '-' || C == '_' || C == '.';
+  });
+  if (!Plain || Name.size() > MaxNameBytes)
+    Reader.report("name",
+                  "at most " + std::to_string(MaxNameBytes) +
+                      " letters, digits, '-', '_' or '.'",
+                  quoted(Name));
+  return Name;
+}
+
+static Duration readMilliseconds(JsonReader &Reader, std::string_view Name,
+                                 std::int64_t Default) {
+  return std::chrono::milliseconds(Reader.optionalInteger(
+      Name, Default, {.Least = 1, .Most = MaxDeadlineMs}));
+}
+
+static std::int64_t readCount(JsonReader &Reader, std::string_view Name,
+                              std::int64_t Default, std::int64_t Least) {
+  return Reader.optionalInteger(Name, Default,
+                                {.Least = Least, .Most = MaxCount});
+}
+
+/// A choice between two words, the first of which is the default.
+static bool readSecond(JsonReader &Reader, std::string_view Name,
+                       const std::array<std::string_view, 2> &Words) {
+  return Reader.optionalChoice(Name, Words) == Words[1];
+}
+
+static FailureDomainSpec readFailureDomain(JsonReader &Reader) {
+  return {.Name = readName(Reader),
+          .Region = Reader.requiredString("region"),
+          .Out = Reader.optionalBool("out", false),
+          .CutOff = readSecond(Reader, "when_cut_off", {"serve", "refuse"})
+                        ? WhenCutOff::Refuse
+                        : WhenCutOff::Serve};
+}
+
+static WorkspaceSpec readWorkspace(JsonReader &Reader) {
+  WorkspaceSpec Result{
+      .Name = readName(Reader),
+      .Weight = readCount(Reader, "weight", 1, 1),
+      .RequestsPerSecond = std::nullopt,
+      .QueueLimit = readCount(Reader, "queue_limit", DefaultQueueLimit, 1)};
+  if (Reader.has("requests_per_second"))
+    Result.RequestsPerSecond = readCount(Reader, "requests_per_second", 1, 1);
+  return Result;
+}
+
+static ClassSpec readClass(JsonReader &Reader) {
+  return {.Name = readName(Reader),
+          .Priority = readCount(Reader, "priority", 0, 0),
+          .Deadline =
+              readMilliseconds(Reader, "deadline_ms", DefaultClassDeadlineMs)};
+}
+
+static KeySpec readKey(JsonReader &Reader) {
+  if (readSecond(Reader, "rule", {"dated", "kept"}))
+    return {.Rule = KeyRule::Kept, .RetentionDays = 0};
+  return {.Rule = KeyRule::Dated,
+          .RetentionDays = Reader.requiredInteger(
+              "retention_days", {.Least = 1, .Most = MaxRetentionDays})};
+}
+
+static void checkPath(JsonReader &Reader, std::string_view Path) {
+  std::size_t Star = Path.find('*');
+  bool Good = Path.starts_with('/') &&
+              Path.find_first_of("?#%\\ ") == Path.npos &&
+              Path.find("//") == Path.npos && Path.find("/.") == Path.npos &&
+              (Star == Path.npos || Star + 1 == Path.size());
+  if (!Good && !Path.empty())
+    Reader.report("path",
+                  "a path from '/' without query, escapes or dot segments, "
+                  "'*' only at its end",
+                  quoted(Path));
+}
+
+static CallSpec readCall(JsonReader &Reader, ServiceKind Kind) {
+  static constexpr std::array<std::string_view, 6> Methods = {
+      "GET", "POST", "PUT", "PATCH", "DELETE", "HEAD"};
+  CallSpec Call;
+  Call.Name = readName(Reader);
+  Call.Method = Reader.optionalChoice("method", Methods);
+  Call.Path = Reader.requiredString("path");
+  checkPath(Reader, Call.Path);
+  Call.Idempotent = Reader.optionalBool("idempotent", false);
+  Reader.optionalObject("key",
+                        [&](JsonReader &Inner) { Call.Key = readKey(Inner); });
+  Call.Class = Reader.optionalString("class", "");
+  if (!Call.Idempotent && !Call.Key)
+    Reader.report("key", "a key rule, as the call is not idempotent",
+                  "nothing");
+  if (Call.Idempotent && Call.Key)
+    Reader.report("key", "no key rule, as the call is idempotent", "one");
+  if (!Call.Idempotent && Kind == ServiceKind::Model)
+    Reader.report("idempotent", "true, as calls of models are", "false");
+  return Call;
+}
+
+/// Members that only models have. Those of a plain service keep defaults.
+static void readModel(JsonReader &Reader, ServiceSpec &Service) {
+  Service.Version = Reader.requiredString("version");
+  Service.HostsPerGroup = readCount(Reader, "hosts_per_group", 1, 1);
+  Service.Spares = readCount(Reader, "spares", 0, 0);
+  Service.SlotLimit = readCount(Reader, "batch_limit", 1, 1);
+  Service.Fencing = readSecond(Reader, "fencing", {"checked", "ignored"})
+                        ? FencingRule::Ignored
+                        : FencingRule::Checked;
+  Service.Resumable = Reader.optionalBool("resumable", false);
+}
+
+static void readPlain(JsonReader &Reader, ServiceSpec &Service) {
+  Service.Version = Reader.optionalString("version", "");
+  Service.SlotLimit = readCount(Reader, "concurrency", 1, 1);
+}
+
+/// Reads a list of objects. One that is too long is a finding and left empty,
+/// so that later checks never see it.
+template <typename Spec, typename ReadOne>
+static void readList(JsonReader &Reader, std::string_view Name,
+                     std::size_t Most, std::vector<Spec> &Into, ReadOne Read) {
+  std::size_t Seen = 0;
+  Reader.eachObject(Name, [&](JsonReader &Each) {
+    Spec One = Read(Each);
+    if (++Seen <= Most)
+      Into.push_back(std::move(One));
+  });
+  if (Seen <= Most)
+    return;
+  Into.clear();
+  Reader.report(Name, "at most " + std::to_string(Most) + " entries",
+                std::to_string(Seen));
+}
+
+static ServiceSpec readService(JsonReader &Reader) {
+  ServiceSpec Service;
+  Service.Name = readName(Reader);
+  Service.Kind = readSecond(Reader, "kind", {"model", "plain"})
+                     ? ServiceKind::Plain
+                     : ServiceKind::Model;
+  Service.DependsOn = Reader.optionalStrings("depends_on");
+  if (Service.Kind == ServiceKind::Model)
+    readModel(Reader, Service);
+  else
+    readPlain(Reader, Service);
+  Reader.optionalObject("warm_up", [&](JsonReader &Inner) {
+    Service.WarmUp.Budget = readCount(Inner, "budget", 1, 1);
+    Service.WarmUp.Length = std::chrono::seconds(Inner.optionalInteger(
+        "seconds", 0, {.Least = 0, .Most = MaxWarmUpSeconds}));
+  });
+  Service.Deadline =
+      readMilliseconds(Reader, "deadline_ms", DefaultServiceDeadlineMs);
+  readList(Reader, "calls", MaxCalls, Service.Calls,
+           [&](JsonReader &Inner) { return readCall(Inner, Service.Kind); });
+  return Service;
+}
+
+template <typename Spec>
+static void checkNames(const std::vector<Spec> &List, const std::string &Place,
+                       Findings &Out) {
+  std::set<std::string_view> Seen;
+  for (std::size_t I = 0; I < List.size(); ++I)
+    if (!List[I].Name.empty() && !Seen.insert(List[I].Name).second)
+      Out.add(Place + "/" + std::to_string(I) + "/name",
+              "a name used once in this list", quoted(List[I].Name));
+}
+
+static void checkNotEmpty(bool Empty, std::string_view Place, Findings &Out) {
+  if (Empty)
+    Out.add(Place, "at least one", "none");
+}
+
+static void checkDomains(const Intent &Read, Findings &Out) {
+  const auto &Domains = Read.FailureDomains;
+  checkNotEmpty(Domains.empty(), "/failure_domains", Out);
+  if (!Domains.empty() && std::ranges::all_of(Domains, &FailureDomainSpec::Out))
+    Out.add("/failure_domains", "at least one that is not out", "all out");
+}
+
+static void checkCalls(const Intent &Read, const ServiceSpec &Service,
+                       const std::string &Place, Findings &Out) {
+  checkNames(Service.Calls, Place + "/calls", Out);
+  for (std::size_t I = 0; I < Service.Calls.size(); ++I) {
+    const CallSpec &Call = Service.Calls[I];
+    std::string CallPlace = Place + "/calls/" + std::to_string(I);
+    if (!Call.Class.empty() && !Read.findClass(Call.Class))
+      Out.add(CallPlace + "/class", "a class listed under /classes",
+              quoted(Call.Class));
+    for (std::size_t J = 0; J < I; ++J)
+      if (Call.overlaps(Service.Calls[J]))
+        Out.add(CallPlace + "/path",
+                "no request in common with call " +
+                    quoted(Service.Calls[J].Name),
+                quoted(Call.Method + " " + Call.Path));
+  }
+}
+
+static void checkDependencies(const Intent &Read, const ServiceSpec &Service,
+                              const std::string &Place, Findings &Out) {
+  std::set<std::string_view> Seen;
+  for (std::size_t I = 0; I < Service.DependsOn.size(); ++I) {
+    const ServiceName &Name = Service.DependsOn[I];
+    std::string Item = Place + "/depends_on/" + std::to_string(I);
+    if (!Read.findService(Name))
+      Out.add(Item, "a service listed under /services", quoted(Name));
+    if (!Seen.insert(Name).second)
+      Out.add(Item, "a service named once", quoted(Name));
+  }
+}
+
+/// Finds the cycles of the dependencies, each once, by depth-first search.
+class CycleFinder {
+public:
+  CycleFinder(const Intent &Read, Findings &Out) : Read(Read), Out(Out) {}
+
+  void visit(const ServiceSpec &Service) {
+    if (this->Done.contains(&Service))
+      return;
+    auto Start = std::ranges::find(this->Path, &Service);
+    if (Start != this->Path.end()) {
+      this->reportFrom(Start);
+      return;
+    }
+    this->Path.push_back(&Service);
+    for (const ServiceName &Name : Service.DependsOn)
+      if (const ServiceSpec *Next = this->Read.findService(Name))
+        this->visit(*Next);
+    this->Path.pop_back();
+    this->Done.insert(&Service);
+  }
+
+private:
+  void reportFrom(std::vector<const ServiceSpec *>::iterator Start) {
+    std::string Cycle;
+    for (auto Each = Start; Each != this->Path.end(); ++Each)
+      Cycle += (*Each)->Name + " -> ";
+    Cycle += (*Start)->Name;
+    std::size_t Index = *Start - this->Read.Services.data();
+    this->Out.add("/services/" + std::to_string(Index) + "/depends_on",
+                  "dependencies without a cycle", Cycle);
+  }
+
+  const Intent &Read;
+  Findings &Out;
+  /// Services between the start of the search and the one being visited.
+  std::vector<const ServiceSpec *> Path;
+  /// Services all of whose dependencies were followed.
+  std::set<const ServiceSpec *> Done;
+};
+
+static void checkServices(const Intent &Read, Findings &Out) {
+  CycleFinder Cycles(Read, Out);
+  for (std::size_t I = 0; I < Read.Services.size(); ++I) {
+    std::string Place = "/services/" + std::to_string(I);
+    checkDependencies(Read, Read.Services[I], Place, Out);
+    checkCalls(Read, Read.Services[I], Place, Out);
+    Cycles.visit(Read.Services[I]);
+  }
+}
+
+static void checkWhole(const Intent &Read, Findings &Out) {
+  checkNames(Read.FailureDomains, "/failure_domains", Out);
+  checkNames(Read.Workspaces, "/workspaces", Out);
+  checkNames(Read.Classes, "/classes", Out);
+  checkNames(Read.Services, "/services", Out);
+  checkDomains(Read, Out);
+  checkNotEmpty(Read.Workspaces.empty(), "/workspaces", Out);
+  checkNotEmpty(Read.Classes.empty(), "/classes", Out);
+  checkServices(Read, Out);
+}
+
+/// A call without a class is of the first one listed.
+static void fillInClasses(Intent &Read) {
+  for (ServiceSpec &Service : Read.Services)
+    for (CallSpec &Call : Service.Calls)
+      if (Call.Class.empty())
+        Call.Class = Read.Classes.front().Name;
+}
+
+std::optional<Intent> parseIntent(std::string_view Text, Findings &Out) {
+  Findings Found;
+  Intent Result;
+  if (std::optional<boost::json::value> Value = parseJson(Text, Found)) {
+    JsonReader Reader(*Value, "", Found);
+    Result.Cluster = Reader.requiredString("cluster");
+    readList(Reader, "failure_domains", MaxFailureDomains,
+             Result.FailureDomains, readFailureDomain);
+    readList(Reader, "workspaces", MaxWorkspaces, Result.Workspaces,
+             readWorkspace);
+    readList(Reader, "classes", MaxClasses, Result.Classes, readClass);
+    readList(Reader, "services", MaxServices, Result.Services, readService);
+    Reader.finish();
+    if (Value->is_object())
+      checkWhole(Result, Found);
+  }
+  for (const Finding &Each : Found.items())
+    Out.add(Each.Place, Each.Expected, Each.Found);
+  if (!Found.empty())
+    return std::nullopt;
+  fillInClasses(Result);
+  return Result;
+}
+
+Intent loadIntent(const std::string &Path) {
+  Findings Found;
+  std::ifstream File(Path, std::ios::binary);
+  std::string Text((std::istreambuf_iterator<char>(File)), {});
+  std::optional<Intent> Result;
+  if (File.good() || File.eof())
+    Result = parseIntent(Text, Found);
+  else
+    Found.add(Path, "a readable file", "none");
+  if (!Result)
+    throw FindingsError(std::move(Found));
+  return *Result;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Meta/CMake/LibIntent.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibIntent LibCore protobuf)
+carobhinge_test(LibIntent LibIntent)
