LibIntent: Accept versions by compare-and-set

Version N+1 is by definition what was accepted on base N, so the history alone tells who won a base and what a resend was first told. Texts are not checked here: a check that differs between releases would make replicas differ.

--- /dev/null
+++ b/Libraries/LibIntent/IntentRegister.cpp
@@ -0,0 +1,84 @@
+//===- LibIntent/IntentRegister.cpp - Accepted versions of the intent -----===//
+///
+/// \file
+/// Version N+1 is by definition what was accepted on base N, so the history
+/// itself says who won a base and what a resend was first told.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibIntent/IntentRegister.h>
+
+#include <LibCore/Hash.h>
+#include <cassert>
+#include <stdexcept>
+
+namespace carobhinge {
+
+std::uint64_t IntentRegister::version() const {
+  return this->History.empty() ? 0 : this->History.back().version();
+}
+
+const message::IntentEntry *IntentRegister::find(std::uint64_t Version) const {
+  if (this->History.empty() || Version < this->History.front().version() ||
+      Version > this->version())
+    return nullptr;
+  return &this->History[Version - this->History.front().version()];
+}
+
+void IntentRegister::accept(std::int64_t StampMs,
+                            const message::IntentCommand &Command,
+                            std::string Digest) {
+  message::IntentEntry Entry;
+  Entry.set_version(this->version() + 1);
+  Entry.set_operator_name(Command.operator_name());
+  Entry.set_stamp_ms(StampMs);
+  Entry.set_digest(std::move(Digest));
+  this->History.push_back(std::move(Entry));
+  this->Text = Command.text();
+  if (this->History.size() > HistoryLimit)
+    this->History.pop_front();
+}
+
+std::string IntentRegister::apply(std::uint64_t /*Index*/, std::int64_t StampMs,
+                                  std::string_view Command) {
+  message::IntentResult Result;
+  message::IntentCommand Read;
+  if (!Read.ParseFromArray(Command.data(), static_cast<int>(Command.size()))) {
+    Result.set_malformed("not an IntentCommand");
+    return Result.SerializeAsString();
+  }
+  std::string Digest = digest(Read.text());
+  if (Read.base_version() == this->version())
+    this->accept(StampMs, Read, Digest);
+  const message::IntentEntry *OnSameBase = this->find(Read.base_version() + 1);
+  if (OnSameBase && OnSameBase->digest() == Digest) {
+    *Result.mutable_accepted() = *OnSameBase;
+    return Result.SerializeAsString();
+  }
+  message::IntentConflict &Conflict = *Result.mutable_conflict();
+  if (OnSameBase)
+    *Conflict.mutable_winner() = *OnSameBase;
+  if (!this->History.empty())
+    *Conflict.mutable_current() = this->History.back();
+  return Result.SerializeAsString();
+}
+
+std::string IntentRegister::snapshot() const {
+  message::IntentRegisterState State;
+  for (const message::IntentEntry &Entry : this->History)
+    *State.add_history() = Entry;
+  State.set_text(this->Text);
+  return State.SerializeAsString();
+}
+
+void IntentRegister::restore(std::string_view Snapshot) {
+  message::IntentRegisterState State;
+  if (!State.ParseFromArray(Snapshot.data(), static_cast<int>(Snapshot.size())))
+    throw std::runtime_error("the snapshot of the intent cannot be read");
+  this->History.assign(State.history().begin(), State.history().end());
+  this->Text = State.text();
+  assert(this->History.empty() ||
+         this->History.back().digest() == digest(this->Text));
+}
+
+} // namespace carobhinge
