Scenario: Add the language of the scripted tests

Findings carry file and line; waiting for an expectation turns the world's clock in slices, so that no verdict depends on a real clock.

--- /dev/null
+++ b/Tests/Scenario/Step.h
@@ -0,0 +1,62 @@
+//===- Tests/Scenario/Step.h - One line of a scenario ---------------------===//
+///
+/// \file
+/// The language of the scripted tests. A scenario is a text file, one step a
+/// line; '#' starts a comment.
+///
+///     scenario A payout outlives the leader
+///     seed 7
+///     after 200ms  tanta-a-1  kill
+///     mansoura-b-1 call payout key=2026-12-01-a
+///     within 3s    payout expect answered status=200
+///
+/// A step is [after D | within D] WHO VERB [word...] [name=value...], where D
+/// is a number with ms, s, m, h or d. `after` lets the time pass before the
+/// step. `within` belongs to `expect` only: the time passes until the
+/// expectation holds, at most D.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef SCENARIO_STEP_H
+#define SCENARIO_STEP_H
+
+#include <LibCore/Time.h>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace carobhinge::scenario {
+
+struct Step {
+  /// Name of the file without folders, and the line, counted from one.
+  std::string File;
+  int Line = 0;
+  Duration After{};
+  Duration Within{};
+  std::string Who;
+  std::string Verb;
+  std::vector<std::string> Words;
+  std::map<std::string, std::string, std::less<>> Options;
+
+  [[nodiscard]] std::string place() const {
+    return this->File + ":" + std::to_string(this->Line);
+  }
+  /// The option \p Name, or \p Default.
+  [[nodiscard]] std::string option(std::string_view Name,
+                                   std::string_view Default = "") const {
+    auto Found = this->Options.find(Name);
+    return std::string(Found == this->Options.end() ? Default : Found->second);
+  }
+};
+
+struct Scenario {
+  std::string Title;
+  std::uint64_t Seed = 1;
+  std::vector<Step> Steps;
+};
+
+} // namespace carobhinge::scenario
+
+#endif // SCENARIO_STEP_H
--- /dev/null
+++ b/Tests/ScenarioLanguage/TestScenario.cpp
@@ -0,0 +1,84 @@
+//===- Tests/ScenarioLanguage/TestScenario.cpp - Faults of a scenario -----===//
+///
+/// \file
+/// The language itself: faults of a text and failing steps carry their place,
+/// and time passes as the steps say.
+///
+//===----------------------------------------------------------------------===//
+
+#include <Scenario/Parser.h>
+#include <Scenario/Runner.h>
+#include <array>
+#include <gtest/gtest.h>
+
+using namespace carobhinge;
+using namespace carobhinge::scenario;
+
+namespace {
+
+/// Counts its kills and breaks an invariant at the third.
+class CountingWorld : public World {
+public:
+  [[nodiscard]] std::span<const std::string_view> verbs() const override {
+    static constexpr std::array<std::string_view, 2> Verbs{"kill", "freeze"};
+    return Verbs;
+  }
+  void advance(Duration Passed) override { this->Now += Passed; }
+  void act(const Step &What) override {
+    if (What.Who != "a")
+      throw StepError("no host " + What.Who);
+    ++this->Kills;
+  }
+  std::optional<std::string> unmet(const Step &Expectation) override {
+    auto Due = parseDuration(Expectation.option("now")).value();
+    if (this->Now >= Due)
+      return std::nullopt;
+    return "only " + std::to_string(milliseconds(this->Now)) + "ms";
+  }
+  std::optional<std::string> brokenInvariant() override {
+    if (this->Kills < 3)
+      return std::nullopt;
+    return "three kills";
+  }
+
+private:
+  Duration Now{};
+  int Kills = 0;
+};
+
+std::string run(std::string_view Text) {
+  return runScenario(
+             "x.scenario", Text,
+             [](std::uint64_t) { return std::make_unique<CountingWorld>(); })
+      .report();
+}
+
+} // namespace
+
+TEST(Scenario, FailuresCarryTheirPlace) {
+  struct {
+    std::string_view Text;
+    /// Parts of the report; none if the scenario holds.
+    std::vector<std::string> Parts;
+  } Cases[] = {
+      {"scenario t\nseed 3\nafter 2s a kill\na expect now=2s\n", {}},
+      {"scenario t\nwithin 2s a expect now=2s # comment\n", {}},
+      {"scenario t\nwithin 1s a expect now=2s\n", {":2:", "only 1000ms"}},
+      {"scenario t\nb kill\n", {":2:", "no host b"}},
+      {"scenario t\na kill\na kill\na kill\na expect now=9s",
+       {":4:", "three kills"}},
+      {"scenario t\na frezze\nafter 3x a kill\n",
+       {":2:", "freeze?", ":3:", "3x"}},
+      {"scenario t\nwithin 3s a kill\nkill\nseed x\n",
+       {":2:", ":3:", "WHO VERB", ":4:", "seed NUMBER"}},
+      {"scenario t\na expect now=1s now=2s\n", {":2:", "each option once"}},
+      {"scenario\na kill\n", {"scenario TITLE"}},
+      {"scenario t\n", {"at least one step"}},
+  };
+  for (const auto &Each : Cases) {
+    std::string Report = run(Each.Text);
+    EXPECT_EQ(Report.empty(), Each.Parts.empty()) << Each.Text << Report;
+    for (const std::string &Part : Each.Parts)
+      EXPECT_NE(Report.find(Part), std::string::npos) << Each.Text << Report;
+  }
+}
