LibRouting: Decide admission, target and retries of each request

Cause: entry hosts need one place that decides what becomes of a request between its arrival and its one end.

The change: Router, without clock, threads or I/O, with policies chosen by name, each beside its baseline: fair or first-come admission, choice of target, deadlines from measured service times, budgets for retries and hedges, stragglers against the median of their peers, spillover into reported spare capacity.

Found by the property EveryRuleHoldsInAnyRun while this was written: a target that left the list and came back with the same life was given its whole slot limit again while its earlier requests still ran (9:4,27 0:0,0 0:0,0 0:0,0 9:44,1256 by). The board now finds targets by name and life for as long as anything runs on them.

--- /dev/null
+++ b/Libraries/LibRouting/RoutingEffect.h
@@ -0,0 +1,75 @@
+//===- LibRouting/RoutingEffect.h - What the driver has to carry out ------===//
+///
+/// \file
+/// The Router decides and returns these effects; the driver performs them in
+/// order. Each Dispatch is answered by exactly one Router::finished().
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBROUTING_ROUTINGEFFECT_H
+#define LIBROUTING_ROUTINGEFFECT_H
+
+#include <LibRouting/RoutedRequest.h>
+#include <variant>
+
+namespace carobhinge {
+
+/// Send the request to the target.
+struct Dispatch {
+  RequestId Request = 0;
+  AttemptId Attempt = 0;
+  std::string TargetName;
+  std::string Address;
+  Incarnation Life = 0;
+  FencingNumber Number = 0;
+  /// A second attempt beside one that still runs. Only bytes of the attempt
+  /// that answers first may reach the caller.
+  bool IsHedge = false;
+  /// Go on after the bytes that the caller already has.
+  bool IsResume = false;
+};
+
+/// Stop the attempt at the target and report finished(). Its slot counts as
+/// taken until then.
+struct CancelAttempt {
+  AttemptId Attempt = 0;
+};
+
+enum class RefusalReason {
+  /// The workspace's queue for this class is full.
+  QueueFull,
+  /// A more urgent request of the same workspace took the place.
+  Displaced,
+  DeadlineCannotBeMet,
+  /// No target takes new work.
+  NoTarget,
+  /// This entry host takes no new requests.
+  Draining,
+  /// The last attempt failed and no further one is allowed.
+  AttemptFailed,
+  /// The answer broke off after its first byte and cannot be resumed.
+  AnswerBrokeOff,
+};
+
+/// Answer the caller now, finally.
+struct Refuse {
+  RequestId Request = 0;
+  RefusalReason Reason = RefusalReason::QueueFull;
+  /// When asking again makes sense.
+  Duration RetryAfter{};
+  /// False only if no byte of the request reached any target. A refusal may
+  /// say "not run" only then.
+  bool MayHaveRun = false;
+};
+
+/// Hand the request to an entry host of another failure domain.
+struct Forward {
+  RequestId Request = 0;
+  FailureDomainName FailureDomain;
+};
+
+using RoutingEffect = std::variant<Dispatch, CancelAttempt, Refuse, Forward>;
+
+} // namespace carobhinge
+
+#endif // LIBROUTING_ROUTINGEFFECT_H
--- /dev/null
+++ b/Libraries/LibRouting/StragglerPolicy.h
@@ -0,0 +1,32 @@
+//===- LibRouting/StragglerPolicy.h - Targets slower than their peers -----===//
+///
+/// \file
+/// Judges a target by the time to its first bytes, against the median of all
+/// targets for the same class of requests.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBROUTING_STRAGGLERPOLICY_H
+#define LIBROUTING_STRAGGLERPOLICY_H
+
+#include <LibRouting/TargetBoard.h>
+#include <memory>
+
+namespace carobhinge {
+
+class StragglerPolicy {
+public:
+  virtual ~StragglerPolicy() = default;
+
+  /// The health after an answer that took \p Ratio times the peers' median.
+  [[nodiscard]] virtual TargetHealth judge(TargetHealth Health,
+                                           double Ratio) const = 0;
+};
+
+/// "peer-median", or "none" as the baseline. Throws std::invalid_argument for
+/// another name.
+std::unique_ptr<StragglerPolicy> makeStragglerPolicy(std::string_view Name);
+
+} // namespace carobhinge
+
+#endif // LIBROUTING_STRAGGLERPOLICY_H
--- /dev/null
+++ b/Tests/LibRouting/TestRouterProperties.cpp
@@ -0,0 +1,184 @@
+//===- Tests/LibRouting/TestRouterProperties.cpp - Rules that hold always -===//
+///
+/// \file
+/// Any sequence of requests, outcomes, departures and losses: every effect
+/// keeps the rules of RouterWorld, and every request gets its one end.
+///
+//===----------------------------------------------------------------------===//
+
+#include "RouterWorld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace carobhinge;
+
+namespace {
+
+/// One event. What the numbers mean depends on the kind.
+struct Step {
+  unsigned Kind = 0;
+  unsigned First = 0;
+  unsigned Second = 0;
+};
+
+void showValue(const Step &Each, std::ostream &Out) {
+  Out << Each.Kind << ':' << Each.First << ',' << Each.Second;
+}
+
+class RandomRun {
+public:
+  explicit RandomRun(const RouterOptions &Options) : World(Options) {
+    this->changeTargets(0xFF, 0);
+  }
+
+  void perform(const Step &Each) {
+    std::vector<AttemptId> Running = this->World.running();
+    switch (Each.Kind % 12) {
+    case 0:
+    case 1:
+    case 2:
+    case 3:
+      this->submit(Each.First, Each.Second);
+      return;
+    case 4:
+      if (!Running.empty())
+        this->World.firstByte(Running[Each.First % Running.size()]);
+      return;
+    case 5:
+    case 6:
+      if (!Running.empty())
+        this->World.finish(Running[Each.First % Running.size()],
+                           AttemptResult::Complete);
+      return;
+    case 7:
+      this->fail(Running, Each.First, Each.Second);
+      return;
+    case 8:
+      this->World.callerGone(1 + Each.First % this->Submitted);
+      return;
+    case 9:
+      this->changeTargets(Each.First, Each.Second);
+      return;
+    case 10:
+      this->World.setNeighbours({DomainSummary{.FailureDomain = "mansoura-b",
+                                               .Service = "",
+                                               .SpareSlots = Each.First % 4,
+                                               .Out = Each.Second % 4 == 0,
+                                               .ReceivedAt = this->World.Now}});
+      return;
+    default:
+      this->World.advance(std::chrono::milliseconds(Each.First % 3000));
+    }
+  }
+
+  /// Ends the run: attempts complete, what waits goes out or is too late, and
+  /// what went out completes as well.
+  void settle() {
+    this->completeAll();
+    this->World.advance(100s);
+    this->completeAll();
+    for (RequestId Id = 1; Id <= this->Submitted; ++Id)
+      if (this->World.ending(Id).empty())
+        this->World.Violations.emplace_back("a request without an end");
+  }
+
+  RouterWorld World;
+
+private:
+  void completeAll() {
+    while (!this->World.running().empty())
+      this->World.finish(this->World.running().front(),
+                         AttemptResult::Complete);
+  }
+
+  void submit(unsigned First, unsigned Second) {
+    RoutedRequest Request = this->World.request(First % 3 ? "large" : "small");
+    Request.Class = First % 2 ? "sheet" : "report";
+    Request.Priority = static_cast<int>(First / 2 % 2);
+    Request.Idempotent = Second % 3 != 0;
+    Request.Resumable = Second % 5 == 0;
+    Request.Forwarded = Second % 7 == 0;
+    Request.Cost = 1 + First % 4;
+    Request.PrefixHash = Second % 6;
+    Request.Deadline =
+        this->World.Now + std::chrono::milliseconds(First * 37 % 20000);
+    this->Submitted = this->World.submit(Request);
+  }
+
+  void fail(const std::vector<AttemptId> &Running, unsigned First,
+            unsigned Second) {
+    if (Running.empty())
+      return;
+    AttemptId Attempt = Running[First % Running.size()];
+    constexpr std::array Failures{
+        AttemptResult::FailedBeforeByte, AttemptResult::FailedAfterByte,
+        AttemptResult::Overloaded, AttemptResult::Cancelled};
+    this->World.finish(Attempt, Failures[Second % Failures.size()],
+                       std::chrono::milliseconds(Second % 900));
+  }
+
+  /// Six targets; \p Listed says which are there, \p Variant which of them
+  /// drain, warm up, or have started anew.
+  void changeTargets(unsigned Listed, unsigned Variant) {
+    std::vector<Target> Targets;
+    for (unsigned I = 0; I < 6; ++I) {
+      if (!(Listed >> I & 1U))
+        continue;
+      Target Each = RouterWorld::target("engine-" + std::to_string(I),
+                                        (Variant + I) % 4, 1 + Variant % 2);
+      Each.Draining = (Variant >> I & 5U) == 5;
+      Targets.push_back(Each);
+    }
+    this->World.setTargets(Targets);
+  }
+
+  unsigned Submitted = 1;
+};
+
+} // namespace
+
+namespace rc {
+template <> struct Arbitrary<Step> {
+  static Gen<Step> arbitrary() {
+    return gen::build<Step>(gen::set(&Step::Kind, gen::inRange(0U, 12U)),
+                            gen::set(&Step::First, gen::inRange(0U, 5000U)),
+                            gen::set(&Step::Second, gen::inRange(0U, 5000U)));
+  }
+};
+} // namespace rc
+
+/// Runs \p Steps and answers the broken rules, one a line.
+static std::string brokenRules(const RouterOptions &Options,
+                               const std::vector<Step> &Steps) {
+  RandomRun Run(Options);
+  Run.perform(Step{.Kind = 0, .First = 0, .Second = 1});
+  for (const Step &Each : Steps)
+    Run.perform(Each);
+  Run.settle();
+  std::string Report;
+  for (const std::string &Rule : Run.World.Violations)
+    Report += Rule + "\n";
+  return Report;
+}
+
+RC_GTEST_PROP(RouterProperties, EveryRuleHoldsInAnyRun,
+              (const std::vector<Step> &Steps)) {
+  RouterOptions Options;
+  Options.QueueLimit = 6;
+  Options.BudgetBurst = 2;
+  RC_ASSERT(brokenRules(Options, Steps) == "");
+}
+
+RC_GTEST_PROP(RouterProperties, EveryRuleHoldsWithTheBaselines,
+              (const std::vector<Step> &Steps)) {
+  RouterOptions Options;
+  Options.QueueLimit = 6;
+  Options.Policies = {.Admission = "fifo",
+                      .Choice = "round-robin",
+                      .Deadlines = "none",
+                      .Hedges = "none",
+                      .Stragglers = "none",
+                      .Spillover = "none"};
+  RC_ASSERT(brokenRules(Options, Steps) == "");
+}
