LibLedger: Name the dispatch of a call attempt apart from routing's

Cause: LibLedger and LibRouting each defined carobhinge::Dispatch; two types of one name in one program break the one-definition rule.

Change: the ledger's effect is DispatchCall.

Conclusion: both libraries can be linked into one binary.

--- a/Libraries/LibLedger/CallAttempt.cpp
+++ b/Libraries/LibLedger/CallAttempt.cpp
@@ -201,7 +201,7 @@
     return;
   if (Event.Reply.standing() == message::LEDGER_GRANTED) {
     this->Current = State::Connecting;
-    this->emit(Dispatch{.Number = this->DispatchNumber,
+    this->emit(DispatchCall{.Number = this->DispatchNumber,
                         .Endpoint = this->Slot.Endpoint,
                         .Address = this->Slot.Address});
     return;
--- a/Libraries/LibLedger/CallEvent.h
+++ b/Libraries/LibLedger/CallEvent.h
@@ -44,25 +44,26 @@
 struct ClaimLost {
   std::uint32_t Dispatch = 0;
 };
-/// Answer to Dispatch: no byte was handed to the socket, and none will be.
+/// Answer to DispatchCall: no byte was handed to the socket, and none will be.
 struct ConnectFailed {
   std::uint32_t Dispatch = 0;
 };
-/// Due to Dispatch: told *before* the first byte is handed to the socket. The
-/// driver writes only after handle() has returned, and only if that call
+/// Due to DispatchCall: told *before* the first byte is handed to the socket.
+/// The driver writes only after handle() has returned, and only if that call
 /// returned no CancelDispatch.
 struct ByteWritten {
   std::uint32_t Dispatch = 0;
 };
-/// Answer to Dispatch after ByteWritten. Complete says that the whole answer
-/// was read as its framing announced it.
+/// Answer to DispatchCall after ByteWritten. Complete says that the whole
+/// answer was read as its framing announced it.
 struct AnswerRead {
   std::uint32_t Status = 0;
   std::string ContentType;
   std::string Body;
   bool Complete = false;
 };
-/// Answer to Dispatch after ByteWritten: the connection broke or fell silent.
+/// Answer to DispatchCall after ByteWritten: the connection broke or fell
+/// silent.
 struct BrokenOff {};
 /// Answer to AskRecord: the outcome was committed.
 struct OutcomeRecorded {};
@@ -117,7 +118,7 @@
 /// Open a connection and send the call. Owes ConnectFailed, or ByteWritten and
 /// then AnswerRead or BrokenOff. The connection is never used for another call
 /// unless the answer was complete.
-struct Dispatch {
+struct DispatchCall {
   std::uint32_t Number = 0;
   EndpointName Endpoint;
   std::string Address;
@@ -184,7 +185,7 @@
 };
 
 using CallEffect =
-    std::variant<AskOpen, EnterQueue, LeaveQueue, AskClaim, Dispatch,
+    std::variant<AskOpen, EnterQueue, LeaveQueue, AskClaim, DispatchCall,
                  CancelDispatch, AskRelease, ReleaseSlot, AskRecord, AskClose,
                  AskJoin, Answer>;
 
--- /dev/null
+++ b/Meta/CMake/LibStandIn.cmake
@@ -0,0 +1,1 @@
+carobhinge_library(LibStandIn LibCore LibFleet LibHTTP)
