LibFleet: Form, repair and route to groups

Announcements and orders with their JSON, the directory of one entry host, the warm-up share, and the planner with its two formation and two repair strategies.

Only announcements, orders and the warm-up share have tests yet.

--- /dev/null
+++ b/Libraries/LibFleet/Announcement.cpp
@@ -0,0 +1,125 @@
+//===- LibFleet/Announcement.cpp - What an endpoint says about itself -----===//
+///
+/// \file
+/// JSON form of announcements.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibFleet/Announcement.h>
+
+#include <LibCore/JsonReader.h>
+#include <array>
+#include <tuple>
+
+namespace json = boost::json;
+
+namespace carobhinge {
+
+/// In the order of the enumerators of Readiness.
+static constexpr std::array<std::string_view, 3> ReadinessNames = {
+    "starting", "ready", "cold"};
+
+static constexpr IntegerRange CountRange = {.Least = 0, .Most = 1000000};
+static constexpr IntegerRange GroupSizeRange = {.Least = 0, .Most = 1024};
+static constexpr IntegerRange LifetimeRange = {.Least = 100, .Most = 600000};
+static constexpr IntegerRange FromOne = {.Least = 1, .Most = INT64_MAX};
+
+static Readiness readReadiness(JsonReader &Reader) {
+  std::string Name = Reader.optionalChoice("readiness", ReadinessNames);
+  std::size_t Index = 0;
+  while (ReadinessNames.at(Index) != Name)
+    ++Index;
+  return static_cast<Readiness>(Index);
+}
+
+static GroupPlace readPlace(JsonReader &Reader) {
+  GroupPlace Place;
+  Place.Group = Reader.optionalString("group", "");
+  Place.Number = Reader.optionalInteger("group_number", 0, {});
+  Place.Rank = Reader.optionalInteger("rank", 0, GroupSizeRange);
+  Place.Size = Reader.optionalInteger("group_size", 0, GroupSizeRange);
+  if (!Place.Group.empty() && Place.Number == 0)
+    Reader.report("group_number", "the number of the group", "nothing");
+  if (!Place.Group.empty() && Place.Rank >= Place.Size)
+    Reader.report("rank", "less than group_size", std::to_string(Place.Rank));
+  return Place;
+}
+
+static Announcement read(JsonReader &Reader) {
+  Announcement Result;
+  Result.Endpoint = Reader.requiredString("endpoint");
+  Result.Host = Reader.requiredString("host");
+  Result.FailureDomain = Reader.requiredString("failure_domain");
+  Result.FabricDomain = Reader.requiredString("fabric_domain");
+  Result.Service = Reader.requiredString("service");
+  Result.Version = Reader.optionalString("version", "");
+  Result.Address = Reader.requiredString("address");
+  Result.Accelerators = Reader.optionalInteger("accelerators", 0, CountRange);
+  Result.Life = Reader.requiredInteger("incarnation", FromOne);
+  Result.Sequence = Reader.requiredInteger("sequence", FromOne);
+  Result.State = readReadiness(Reader);
+  Result.Leaving = Reader.optionalBool("leaving", false);
+  Result.Lifetime = std::chrono::milliseconds(
+      Reader.optionalInteger("lifetime_ms", 3000, LifetimeRange));
+  Result.Place = readPlace(Reader);
+  Result.LastOrder = Reader.optionalInteger("last_order", 0, {});
+  Result.ChecksFencing = Reader.optionalBool("checks_fencing", false);
+  Reader.optionalObject("load", [&Result](JsonReader &Load) {
+    Result.Running = Load.optionalInteger("running", 0, CountRange);
+    Result.Queued = Load.optionalInteger("queued", 0, CountRange);
+  });
+  Result.BatchLimit = Reader.optionalInteger(
+      "batch_limit", 1, {.Least = 1, .Most = CountRange.Most});
+  Result.Answered = Reader.optionalInteger("answered", 0, {});
+  return Result;
+}
+
+std::optional<Announcement> parseAnnouncement(std::string_view Json,
+                                              Findings &Out) {
+  std::size_t Before = Out.items().size();
+  std::optional<json::value> Value = parseJson(Json, Out);
+  if (!Value)
+    return std::nullopt;
+  JsonReader Reader(*Value, "", Out);
+  Announcement Result = read(Reader);
+  Reader.finish();
+  if (Out.items().size() != Before)
+    return std::nullopt;
+  return Result;
+}
+
+std::string toJson(const Announcement &From) {
+  json::object Object = {
+      {"endpoint", From.Endpoint},
+      {"host", From.Host},
+      {"failure_domain", From.FailureDomain},
+      {"fabric_domain", From.FabricDomain},
+      {"service", From.Service},
+      {"address", From.Address},
+      {"accelerators", From.Accelerators},
+      {"incarnation", static_cast<std::int64_t>(From.Life)},
+      {"sequence", static_cast<std::int64_t>(From.Sequence)},
+      {"readiness", ReadinessNames.at(static_cast<std::size_t>(From.State))},
+      {"leaving", From.Leaving},
+      {"lifetime_ms", milliseconds(From.Lifetime)},
+      {"last_order", static_cast<std::int64_t>(From.LastOrder)},
+      {"checks_fencing", From.ChecksFencing},
+      {"load", {{"running", From.Running}, {"queued", From.Queued}}},
+      {"batch_limit", From.BatchLimit},
+      {"answered", static_cast<std::int64_t>(From.Answered)}};
+  if (!From.Version.empty())
+    Object["version"] = From.Version;
+  if (!From.Place.Group.empty()) {
+    Object["group"] = From.Place.Group;
+    Object["group_number"] = static_cast<std::int64_t>(From.Place.Number);
+    Object["rank"] = From.Place.Rank;
+    Object["group_size"] = From.Place.Size;
+  }
+  return json::serialize(Object);
+}
+
+bool isNewer(const Announcement &New, const Announcement &Old) {
+  return std::tie(New.Life, New.Sequence) > std::tie(Old.Life, Old.Sequence);
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibFleet/RepairPolicy.cpp
@@ -0,0 +1,60 @@
+//===- LibFleet/RepairPolicy.cpp - What to do with a broken group ---------===//
+///
+/// \file
+/// The two ways of repairing.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibFleet/RepairPolicy.h>
+
+#include <stdexcept>
+#include <string>
+
+namespace carobhinge {
+
+/// How long the baseline keeps survivors out of new groups.
+static constexpr Duration FixedTimeout = std::chrono::seconds(30);
+
+/// A group without survivors and without spares is given up after this long.
+static constexpr Duration AbandonAfter = std::chrono::minutes(10);
+
+namespace {
+
+class FixedTimeoutRepair : public RepairPolicy {
+public:
+  [[nodiscard]] RepairAction decide(const BrokenGroup &) const override {
+    return RepairAction::Dissolve;
+  }
+  [[nodiscard]] Duration holdAfterDissolving() const override {
+    return FixedTimeout;
+  }
+};
+
+/// Replaces lost members as soon as spares or donors suffice. Until then the
+/// survivors keep their weights, and a member that returns to its place makes
+/// the group whole without any loading.
+class SpareFirst : public RepairPolicy {
+public:
+  [[nodiscard]] RepairAction decide(const BrokenGroup &Group) const override {
+    if (Group.Spares + Group.Donors >= Group.Missing)
+      return RepairAction::Replace;
+    if (Group.Survivors == 0 && Group.BrokenFor >= AbandonAfter)
+      return RepairAction::Dissolve;
+    return RepairAction::Wait;
+  }
+  [[nodiscard]] Duration holdAfterDissolving() const override {
+    return Duration::zero();
+  }
+};
+
+} // namespace
+
+std::unique_ptr<RepairPolicy> makeRepairPolicy(std::string_view Name) {
+  if (Name == "fixed-timeout")
+    return std::make_unique<FixedTimeoutRepair>();
+  if (Name == "spare-first")
+    return std::make_unique<SpareFirst>();
+  throw std::invalid_argument("no repair policy named " + std::string(Name));
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibFleet/Roster.h
@@ -0,0 +1,67 @@
+//===- LibFleet/Roster.h - The groups of a failure domain -----------------===//
+///
+/// \file
+/// The planner's list of groups, published to the entry hosts of its failure
+/// domain. The one with the larger (epoch, sequence) is the newer.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBFLEET_ROSTER_H
+#define LIBFLEET_ROSTER_H
+
+#include <LibCore/Names.h>
+#include <string>
+#include <vector>
+
+namespace carobhinge {
+
+enum class GroupState : std::uint8_t {
+  /// Members have yet to join or to load their weights.
+  Forming,
+  Serving,
+  /// Finishes what runs; gets nothing new.
+  Draining,
+  /// A member is lost and not yet replaced.
+  Broken,
+};
+
+struct RosterMember {
+  EndpointName Endpoint;
+  Incarnation Life = 0;
+
+  bool operator==(const RosterMember &) const = default;
+};
+
+struct RosterGroup {
+  GroupName Group;
+  FencingNumber Number = 0;
+  ServiceName Service;
+  std::string Version;
+  FabricDomainName FabricDomain;
+  GroupState State = GroupState::Forming;
+  /// By rank. The member of rank zero takes the group's requests.
+  std::vector<RosterMember> Members;
+
+  bool operator==(const RosterGroup &) const = default;
+};
+
+struct Roster {
+  FailureDomainName FailureDomain;
+  /// Of the planner's grant.
+  std::uint64_t Epoch = 0;
+  /// Grows with every roster of one epoch.
+  std::uint64_t Sequence = 0;
+  std::vector<RosterGroup> Groups = {};
+
+  bool operator==(const Roster &) const = default;
+};
+
+/// True if \p New replaces \p Old.
+inline bool isNewer(const Roster &New, const Roster &Old) {
+  return New.Epoch > Old.Epoch ||
+         (New.Epoch == Old.Epoch && New.Sequence > Old.Sequence);
+}
+
+} // namespace carobhinge
+
+#endif // LIBFLEET_ROSTER_H
--- /dev/null
+++ b/Meta/CMake/LibFleet.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibFleet LibCore protobuf)
+carobhinge_test(LibFleet LibFleet)
--- a/Meta/carobhinge.sh
+++ b/Meta/carobhinge.sh
@@ -69,7 +69,8 @@
   ;;
 format)
   install_packages
-  git ls-files -co --exclude-standard '*.h' '*.cpp' | xargs clang-format -i
+  git ls-files -co --exclude-standard '*.h' '*.cpp' | grep -v '\.pb\.' |
+    xargs clang-format -i
   ;;
 bench)
   install_packages
--- /dev/null
+++ b/Tests/LibFleet/TestAnnouncement.cpp
@@ -0,0 +1,78 @@
+//===- Tests/LibFleet/TestAnnouncement.cpp - JSON towards endpoints -------===//
+///
+/// \file
+/// Announcements and orders survive their JSON form, and a bad text is refused
+/// with every fault in its place.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibFleet/Order.h>
+#include <gtest/gtest.h>
+
+using namespace carobhinge;
+
+static Announcement fullAnnouncement() {
+  Announcement Full;
+  Full.Endpoint = "sheets-7";
+  Full.Host = "gpu-7";
+  Full.FailureDomain = "tanta-a";
+  Full.FabricDomain = "tanta-a-1";
+  Full.Service = "sheets";
+  Full.Version = "v3";
+  Full.Address = "127.0.0.1:9007";
+  Full.Accelerators = 8;
+  Full.Life = 1700000000123;
+  Full.Sequence = 42;
+  Full.State = Readiness::Cold;
+  Full.Leaving = true;
+  Full.Lifetime = std::chrono::milliseconds(2500);
+  Full.Place = {.Group = "sheets-1.3", .Number = 99, .Rank = 1, .Size = 2};
+  Full.LastOrder = fencingNumber(5, 7);
+  Full.ChecksFencing = true;
+  Full.Running = 3;
+  Full.Queued = 4;
+  Full.BatchLimit = 64;
+  Full.Answered = 1234;
+  return Full;
+}
+
+TEST(Announcement, SurvivesItsJson) {
+  Findings Out;
+  EXPECT_EQ(parseAnnouncement(toJson(fullAnnouncement()), Out),
+            fullAnnouncement());
+  EXPECT_EQ(Out.report(), "");
+}
+
+TEST(Announcement, EveryFaultHasItsPlace) {
+  Findings Out;
+  auto Parsed = parseAnnouncement(
+      R"({"endpoint":"e","host":"h","failure_domain":"d","service":"s",
+          "address":"127.0.0.1:1","fabric_domain":"f","incarnation":1,
+          "sequence":0,"readines":"cold","readiness":"warm","group":"g",
+          "rank":2,"group_size":2,"load":{"running":-1}})",
+      Out);
+  EXPECT_FALSE(Parsed.has_value());
+  std::vector<std::string> Places;
+  for (const Finding &Each : Out.items())
+    Places.push_back(Each.Place);
+  EXPECT_EQ(Places, (std::vector<std::string>{"/sequence", "/readiness",
+                                              "/group_number", "/rank",
+                                              "/load/running", "/readines"}));
+}
+
+TEST(Order, SurvivesItsJson) {
+  Order Full;
+  Full.Number = fencingNumber(3, 2);
+  Full.Place = {.Group = "sheets-1.3", .Number = 99, .Rank = 1, .Size = 2};
+  Full.Members = {{.Endpoint = "a", .Address = "127.0.0.1:1"},
+                  {.Endpoint = "b", .Address = "127.0.0.1:2"}};
+  Full.Service = "sheets";
+  Full.Version = "v3";
+  Full.ForLife = 7;
+  Findings Out;
+  EXPECT_EQ(parseOrder(toJson(Full), Out), Full);
+  Full.Action = OrderAction::Leave;
+  EXPECT_EQ(parseOrder(toJson(Full), Out), Full);
+  EXPECT_EQ(Out.report(), "");
+  EXPECT_FALSE(parseOrder(R"({"number":0})", Out).has_value());
+}
