--- a/Meta/CMake/LibIntent.cmake
+++ b/Meta/CMake/LibIntent.cmake
@@ -1,4 +1,4 @@
-carobhinge_library(LibIntent LibCore protobuf)
+carobhinge_library(LibIntent LibCore LibSettings protobuf)
 carobhinge_test(LibIntent LibIntent)
 # RapidCheck takes its seed from here, so that every run gives one verdict.
 set_tests_properties(LibIntent PROPERTIES ENVIRONMENT RC_PARAMS=seed=20261203)
