--- /dev/null
+++ b/Libraries/LibServe/CallContext.h
@@ -0,0 +1,67 @@
+//===- LibServe/CallContext.h - One caller's request, understood ----------===//
+///
+/// \file
+/// What is known of a request once its path and header fields were checked
+/// against the intent.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBSERVE_CALLCONTEXT_H
+#define LIBSERVE_CALLCONTEXT_H
+
+#include <LibHTTP/HttpMessage.h>
+#include <LibIntent/Intent.h>
+#include <LibRouting/RoutedRequest.h>
+#include <LibServe/Problem.h>
+#include <LibTelemetry/Metrics.h>
+#include <memory>
+#include <variant>
+
+namespace carobhinge {
+
+/// Header fields of the callers' interface.
+namespace header {
+inline constexpr std::string_view Workspace = "Carobhinge-Workspace";
+inline constexpr std::string_view Class = "Carobhinge-Class";
+inline constexpr std::string_view DeadlineMs = "Carobhinge-Deadline-Ms";
+inline constexpr std::string_view Outcome = "Carobhinge-Outcome";
+inline constexpr std::string_view RequestId = "X-Request-Id";
+inline constexpr std::string_view IdempotencyKey = "Idempotency-Key";
+inline constexpr std::string_view Group = "Carobhinge-Group";
+inline constexpr std::string_view GroupNumber = "Carobhinge-Group-Number";
+inline constexpr std::string_view ResumeFrom = "Carobhinge-Resume-From";
+} // namespace header
+
+struct CallContext {
+  std::string RequestText;
+  /// Kept for as long as the request lives, so that a change of the intent
+  /// never meets it half-way. Service and Call point into it.
+  std::shared_ptr<const Intent> Wanted;
+  const ServiceSpec *Service = nullptr;
+  const CallSpec *Call = nullptr;
+  TrafficClass Traffic;
+  /// Zero is the most urgent.
+  int Priority = 0;
+  TimePoint ArrivedAt;
+  TimePoint Deadline;
+  /// Path and query below the service.
+  std::string Target;
+  /// Whether the caller asked for server-sent events.
+  bool Streamed = false;
+  std::uint64_t PrefixHash = 0;
+  std::string IdempotencyKey;
+  /// Came from an entry host of another failure domain.
+  bool Forwarded = false;
+
+  /// The request as routing sees it.
+  [[nodiscard]] RoutedRequest routed() const;
+};
+
+/// Checks \p Request against \p Wanted.
+std::variant<CallContext, Problem>
+understandCall(const HttpRequest &Request, std::shared_ptr<const Intent> Wanted,
+               bool Forwarded, std::string_view FreshRequestId);
+
+} // namespace carobhinge
+
+#endif // LIBSERVE_CALLCONTEXT_H
--- /dev/null
+++ b/Libraries/LibServe/ControlHost.cpp
@@ -0,0 +1,257 @@
+//===- LibServe/ControlHost.cpp - The replicated logs of a control host ---===//
+///
+/// \file
+/// Starts the log drivers and turns calls into proposals and reads.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibServe/ControlHost.h>
+
+#include <LibCore/Hash.h>
+#include <LibServe/AwaitResult.h>
+#include <LibTelemetry/Log.h>
+
+namespace asio = boost::asio;
+
+namespace carobhinge {
+
+static message::LogCallStatus toMessage(ProposalStatus Status) {
+  switch (Status) {
+  case ProposalStatus::Committed:
+    return message::LOG_COMMITTED;
+  case ProposalStatus::NotLeader:
+    return message::LOG_NOT_LEADER;
+  case ProposalStatus::Lost:
+    break;
+  }
+  return message::LOG_LOST;
+}
+
+static LogDriverOptions logOptions(const Settings &Own, Peers &Links,
+                                   std::uint32_t Number,
+                                   StateMachine &Machine) {
+  LogDriverOptions Options;
+  Options.Log = Number;
+  Options.Self = Own.Host;
+  Options.Voters = Links.controlHosts();
+  Options.Folder = std::filesystem::path(Own.DataFolder) /
+                   ("log-" + std::to_string(Number));
+  Options.Send = [&Links](const HostName &To,
+                          const message::ConsensusMessage &Message) {
+    Links.post(To, "consensus", Message.SerializeAsString());
+  };
+  Options.Machine = &Machine;
+  // Another one in each life of the host.
+  Options.Seed = hash64(Own.Host, static_cast<std::uint64_t>(
+                                      monotonicNow().time_since_epoch().count()) +
+                                      Number);
+  return Options;
+}
+
+ControlHost::ControlHost(const Settings &Own, Peers &Links,
+                         ControlHostCallbacks Callbacks)
+    : Links(Links), Callbacks(std::move(Callbacks)),
+      Control(this->Callbacks.IntentAccepted) {
+  this->Logs.push_back(std::make_unique<LogDriver>(
+      logOptions(Own, Links, ControlLog, this->Control)));
+  LedgerLimits Limits{
+      .BodyBytes = static_cast<std::size_t>(Own.Bounds.OutcomeBytes)};
+  for (std::int64_t Shard = 0; Shard < Own.LedgerShards; ++Shard) {
+    this->Ledgers.push_back(std::make_unique<LedgerState>(Limits));
+    auto Number = FirstLedgerLog + static_cast<std::uint32_t>(Shard);
+    this->Logs.push_back(std::make_unique<LogDriver>(
+        logOptions(Own, Links, Number, *this->Ledgers.back())));
+  }
+}
+
+ControlHost::~ControlHost() { this->stop(); }
+
+void ControlHost::stop() {
+  for (const auto &Each : this->Logs)
+    Each->stop();
+}
+
+LogDriver *ControlHost::log(std::uint32_t Number) const {
+  return Number < this->Logs.size() ? this->Logs[Number].get() : nullptr;
+}
+
+asio::awaitable<message::ProposeResult>
+ControlHost::propose(message::ProposeCall Call) {
+  message::ProposeResult Result;
+  LogDriver *Log = this->log(Call.log());
+  if (!Log) {
+    Result.set_status(message::LOG_NOT_LEADER);
+    co_return Result;
+  }
+  auto Proposed = co_await awaitResult<ProposalResult>(
+      [Log, Command = std::move(*Call.mutable_command())](
+          std::function<void(ProposalResult)> Done) mutable {
+        Log->propose(std::move(Command), std::move(Done));
+      });
+  Result.set_status(toMessage(Proposed.Status));
+  Result.set_index(Proposed.Index);
+  Result.set_reply(std::move(Proposed.Reply));
+  Result.set_leader(std::move(Proposed.LeaderHint));
+  co_return Result;
+}
+
+asio::awaitable<message::OpenResult>
+ControlHost::open(message::OpenCall Call) {
+  LogDriver *Log = this->log(Call.log());
+  if (!Log || Call.log() < FirstLedgerLog) {
+    message::OpenResult Refused;
+    Refused.set_status(message::LOG_NOT_LEADER);
+    co_return Refused;
+  }
+  co_return co_await awaitResult<message::OpenResult>(
+      [Log, Call = std::move(Call)](
+          std::function<void(message::OpenResult)> Done) {
+        Log->read([Call, Done = std::move(Done)](const ReadResult &Read) {
+          message::OpenResult Result;
+          Result.set_status(toMessage(Read.Status));
+          Result.set_leader(Read.LeaderHint);
+          if (const auto *State =
+                  dynamic_cast<const LedgerState *>(Read.Machine))
+            *Result.mutable_reply() = State->records().open(
+                Call.key(), Call.content_digest(), Read.AppliedIndex);
+          Done(std::move(Result));
+        });
+      });
+}
+
+asio::awaitable<message::HistoryResult> ControlHost::history() {
+  co_return co_await awaitResult<message::HistoryResult>(
+      [Log = this->log(ControlLog)](
+          std::function<void(message::HistoryResult)> Done) {
+        Log->read([Done = std::move(Done)](const ReadResult &Read) {
+          message::HistoryResult Result;
+          Result.set_status(toMessage(Read.Status));
+          Result.set_leader(Read.LeaderHint);
+          if (const auto *State =
+                  dynamic_cast<const ControlState *>(Read.Machine))
+            Result.set_state(State->intents().snapshot());
+          Done(std::move(Result));
+        });
+      });
+}
+
+message::PresenceResult
+ControlHost::presence(const HostName &From, const message::PresenceCall &Call) {
+  std::lock_guard Guard(this->WatchLock);
+  if (this->Watch)
+    this->Watch->heard(monotonicNow(), Call.failure_domain(), From,
+                       Call.incarnation());
+  message::PresenceResult Result;
+  const PlannerGrant *Grant = this->KnownGrants.find(Call.failure_domain());
+  if (!Grant)
+    return Result;
+  Result.set_planner(Grant->Host);
+  Result.set_planner_incarnation(Grant->HostLife);
+  Result.set_epoch(Grant->Epoch);
+  for (const auto &[Endpoint, Recorded] : Grant->Orders) {
+    auto *Each = Result.add_orders();
+    Each->set_endpoint(Recorded.Endpoint);
+    Each->set_incarnation(Recorded.Life);
+    Each->set_number(Recorded.Number);
+  }
+  return Result;
+}
+
+/// The message of a call, or an exception that ends the call as lost.
+template <class Message> static Message parsed(const WireExchange &Call) {
+  Message Result;
+  if (!Result.ParseFromString(Call.message()))
+    throw std::runtime_error("a call's message cannot be decoded");
+  return Result;
+}
+
+void ControlHost::addHandlers(
+    std::map<std::string, WireHandler, std::less<>> &Table) {
+  Table["consensus"] = [this](WireExchange &Call) -> asio::awaitable<void> {
+    auto Message = parsed<message::ConsensusMessage>(Call);
+    if (LogDriver *Log = this->log(Message.log()))
+      Log->receive(Call.caller(), Message);
+    co_return;
+  };
+  Table["control.propose"] =
+      [this](WireExchange &Call) -> asio::awaitable<void> {
+    auto Asked = parsed<message::ProposeCall>(Call);
+    message::ProposeResult Result = co_await this->propose(std::move(Asked));
+    co_await Call.send(Result.SerializeAsString());
+  };
+  Table["control.open"] = [this](WireExchange &Call) -> asio::awaitable<void> {
+    auto Asked = parsed<message::OpenCall>(Call);
+    message::OpenResult Result = co_await this->open(std::move(Asked));
+    co_await Call.send(Result.SerializeAsString());
+  };
+  Table["control.history"] =
+      [this](WireExchange &Call) -> asio::awaitable<void> {
+    message::HistoryResult Result = co_await this->history();
+    co_await Call.send(Result.SerializeAsString());
+  };
+  Table["control.presence"] =
+      [this](WireExchange &Call) -> asio::awaitable<void> {
+    auto Asked = parsed<message::PresenceCall>(Call);
+    message::PresenceResult Result = this->presence(Call.caller(), Asked);
+    co_await Call.send(Result.SerializeAsString());
+  };
+}
+
+void ControlHost::tick() {
+  TimePoint Began = monotonicNow();
+  bool Leading = this->log(ControlLog)->status().Current == Role::Leader;
+  {
+    std::lock_guard Guard(this->WatchLock);
+    if (!Leading)
+      this->Watch.reset();
+    else if (!this->Watch)
+      this->Watch = std::make_unique<PlannerWatch>(Began, PlannerWatchOptions());
+  }
+  this->log(ControlLog)->read([this, Began](const ReadResult &Read) {
+    const auto *State = dynamic_cast<const ControlState *>(Read.Machine);
+    if (!State)
+      return;
+    this->Callbacks.IntentConfirmed(Began);
+    std::lock_guard Guard(this->WatchLock);
+    this->KnownGrants = State->grants();
+  });
+  if (Leading)
+    this->watchPlanners();
+}
+
+void ControlHost::watchPlanners() {
+  std::vector<message::PlannerCommand> Commands;
+  {
+    std::lock_guard Guard(this->WatchLock);
+    if (this->Watch)
+      Commands = this->Watch->tick(monotonicNow(), this->KnownGrants);
+  }
+  for (const message::PlannerCommand &Command : Commands) {
+    logEvent(Severity::Info, "planner-grant-proposed",
+             {{"failure_domain", Command.grant().failure_domain()},
+              {"planner", Command.grant().host()}});
+    this->log(ControlLog)->propose(controlCommand(Command),
+                                   [](const ProposalResult &) {});
+  }
+}
+
+std::vector<LogStatus> ControlHost::status() const {
+  std::vector<LogStatus> Result;
+  for (const auto &Each : this->Logs)
+    Result.push_back(Each->status());
+  return Result;
+}
+
+void ControlHost::transferLeadership() {
+  for (const auto &Each : this->Logs)
+    Each->transferLeadership();
+}
+
+bool ControlHost::leads() const {
+  for (const auto &Each : this->Logs)
+    if (Each->status().Current == Role::Leader)
+      return true;
+  return false;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibServe/ControlHost.h
@@ -0,0 +1,84 @@
+//===- LibServe/ControlHost.h - The replicated logs of a control host -----===//
+///
+/// \file
+/// Runs log 0 and the ledger shards' logs of one voter, and answers the calls
+/// of other hosts about them.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBSERVE_CONTROLHOST_H
+#define LIBSERVE_CONTROLHOST_H
+
+#include <LibConsensus/LogDriver.h>
+#include <LibFleet/PlannerWatch.h>
+#include <LibServe/ControlState.h>
+#include <LibServe/LedgerState.h>
+#include <LibServe/Peers.h>
+#include <LibServe/Serve.pb.h>
+#include <LibWire/WireServer.h>
+#include <mutex>
+#include <span>
+
+namespace carobhinge {
+
+/// Number of the log with the intent and the planner grants.
+inline constexpr std::uint32_t ControlLog = 0;
+/// Number of the first ledger shard's log.
+inline constexpr std::uint32_t FirstLedgerLog = 1;
+
+struct ControlHostCallbacks {
+  std::function<void(std::uint64_t Version, const std::string &Text)>
+      IntentAccepted;
+  /// A linearizable read that began at \p ReadBegan has shown that all
+  /// versions accepted before were announced.
+  std::function<void(TimePoint ReadBegan)> IntentConfirmed;
+};
+
+class ControlHost {
+public:
+  /// Opens the data folder. \throws what LibStore throws.
+  ControlHost(const Settings &Own, Peers &Links,
+              ControlHostCallbacks Callbacks);
+  ~ControlHost();
+
+  boost::asio::awaitable<message::ProposeResult>
+  propose(message::ProposeCall Call);
+  boost::asio::awaitable<message::OpenResult> open(message::OpenCall Call);
+  boost::asio::awaitable<message::HistoryResult> history();
+  message::PresenceResult presence(const HostName &From,
+                                   const message::PresenceCall &Call);
+
+  /// Adds what this host answers to the table of a WireServer.
+  void addHandlers(std::map<std::string, WireHandler, std::less<>> &Table);
+
+  /// To be called about once a second: moves planner grants where needed and
+  /// confirms that the intent is current.
+  void tick();
+
+  [[nodiscard]] std::vector<LogStatus> status() const;
+  void transferLeadership();
+  /// Whether this host leads any log.
+  [[nodiscard]] bool leads() const;
+  void stop();
+
+private:
+  [[nodiscard]] LogDriver *log(std::uint32_t Number) const;
+  void watchPlanners();
+
+  Peers &Links;
+  ControlHostCallbacks Callbacks;
+  ControlState Control;
+  std::vector<std::unique_ptr<LedgerState>> Ledgers;
+  /// By log number.
+  std::vector<std::unique_ptr<LogDriver>> Logs;
+
+  std::mutex WatchLock;
+  /// Set only while this host leads the control log.
+  std::unique_ptr<PlannerWatch> Watch;
+  /// As of the last linearizable read; read by presence().
+  PlannerGrants KnownGrants;
+};
+
+} // namespace carobhinge
+
+#endif // LIBSERVE_CONTROLHOST_H
--- /dev/null
+++ b/Libraries/LibServe/FleetKeeper.cpp
@@ -0,0 +1,369 @@
+//===- LibServe/FleetKeeper.cpp - Endpoints and groups on this host -------===//
+///
+/// \file
+/// Messages in and out of the directory and the planner.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibServe/FleetKeeper.h>
+
+#include <LibFleet/FleetMessages.h>
+#include <LibTelemetry/Log.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace carobhinge {
+
+static constexpr auto OncePerSecond = std::chrono::seconds(1);
+static constexpr auto OrderHeadTimeout = std::chrono::seconds(2);
+static constexpr auto PresenceTimeout = std::chrono::milliseconds(900);
+static constexpr auto RecordBound = std::chrono::seconds(2);
+static constexpr std::size_t OrderAnswerBytes = 64 * 1024;
+
+static std::vector<HostName> domainHosts(const Settings &Own, Peers &Links) {
+  std::vector<HostName> Hosts = Links.domainEntryHosts();
+  Hosts.push_back(Own.Host);
+  return Hosts;
+}
+
+static DirectoryOptions directoryOptions(const Settings &Own, Peers &Links) {
+  DirectoryOptions Options;
+  Options.Self = Own.Host;
+  Options.FailureDomain = Own.FailureDomain;
+  Options.EntryHosts = domainHosts(Own, Links);
+  return Options;
+}
+
+static PlannerOptions plannerOptions(const Settings &Own, Peers &Links) {
+  PlannerOptions Options;
+  Options.FailureDomain = Own.FailureDomain;
+  Options.EntryHosts = domainHosts(Own, Links);
+  return Options;
+}
+
+FleetKeeper::FleetKeeper(asio::any_io_executor Executor, const Settings &Own,
+                         Incarnation Life, Peers &Links, ControlClient &Control)
+    : Executor(Executor), Self(Own.Host), FailureDomain(Own.FailureDomain),
+      Life(Life), RelayInterval(Own.Times.AnnounceRelay), Links(Links),
+      Control(Control), Client(Executor),
+      Directory(directoryOptions(Own, Links)),
+      Planner(plannerOptions(Own, Links)) {}
+
+void FleetKeeper::announced(const std::string &Json, Findings &Out) {
+  std::optional<Announcement> Said = parseAnnouncement(Json, Out);
+  if (!Said)
+    return;
+  if (Said->FailureDomain != this->FailureDomain) {
+    Out.add("/failure_domain", this->FailureDomain, Said->FailureDomain);
+    return;
+  }
+  TimePoint Now = monotonicNow();
+  std::lock_guard Guard(this->Lock);
+  bool News = this->Directory.announced(Now, *Said, Duration::zero());
+  this->Planner.announced(Now, *Said, Duration::zero());
+  if (News)
+    this->Relays.push_back({.Json = Json, .ReceivedAt = Now});
+}
+
+void FleetKeeper::relayed(const message::AnnouncementRelay &Message) {
+  TimePoint Now = monotonicNow();
+  std::lock_guard Guard(this->Lock);
+  for (const auto &Item : Message.items()) {
+    Findings Faults;
+    std::optional<Announcement> Said = parseAnnouncement(Item.json(), Faults);
+    if (!Said)
+      continue;
+    Duration Age = std::chrono::milliseconds(Item.age_ms());
+    this->Directory.announced(Now, *Said, Age);
+    this->Planner.announced(Now, *Said, Age);
+  }
+}
+
+void FleetKeeper::intentChanged(const Intent &Wanted, bool DomainClosed) {
+  FleetIntent Fleet;
+  Fleet.DomainOut = DomainClosed;
+  for (const ServiceSpec &Service : Wanted.Services) {
+    bool IsModel = Service.Kind == ServiceKind::Model;
+    Fleet.Services[Service.Name] = FleetService{
+        .HostsPerGroup =
+            IsModel ? static_cast<std::uint32_t>(Service.HostsPerGroup) : 0,
+        .Version = Service.Version,
+        .WarmUpBudget = static_cast<std::uint32_t>(Service.WarmUp.Budget)};
+  }
+  std::lock_guard Guard(this->Lock);
+  this->Directory.intentChanged(Fleet);
+  this->Planner.intentChanged(Fleet);
+}
+
+std::vector<Target> FleetKeeper::targets(const ServiceName &Service) const {
+  std::lock_guard Guard(this->Lock);
+  return this->Directory.targets(monotonicNow(), Service);
+}
+
+void FleetKeeper::answered(const Target &From, Duration Latency) {
+  std::lock_guard Guard(this->Lock);
+  this->Directory.answered(From, Latency);
+}
+
+Roster FleetKeeper::roster() const {
+  std::lock_guard Guard(this->Lock);
+  return this->Directory.roster();
+}
+
+bool FleetKeeper::isPlanner() const {
+  std::lock_guard Guard(this->Lock);
+  return this->GrantEpoch > 0;
+}
+
+void FleetKeeper::toDomain(const std::string &Method,
+                           const std::string &Message) {
+  for (const HostName &Host : this->Links.domainEntryHosts())
+    this->Links.post(Host, Method, Message);
+}
+
+void FleetKeeper::reportOutstanding(std::map<GroupName, std::uint32_t> Count) {
+  OutstandingReport Report{.EntryHost = this->Self, .Count = std::move(Count)};
+  {
+    std::lock_guard Guard(this->Lock);
+    Report.Epoch = this->Directory.roster().Epoch;
+    Report.Sequence = this->Directory.roster().Sequence;
+    this->Planner.outstanding(monotonicNow(), Report);
+  }
+  this->toDomain("fleet.outstanding", toMessage(Report).SerializeAsString());
+}
+
+void FleetKeeper::sendRelays(TimePoint Now) {
+  std::vector<PendingRelay> Batch;
+  {
+    std::lock_guard Guard(this->Lock);
+    Batch.swap(this->Relays);
+  }
+  if (Batch.empty())
+    return;
+  message::AnnouncementRelay Message;
+  for (PendingRelay &Each : Batch) {
+    auto *Item = Message.add_items();
+    Item->set_json(std::move(Each.Json));
+    Item->set_age_ms(
+        static_cast<std::uint32_t>(milliseconds(Now - Each.ReceivedAt)));
+  }
+  this->toDomain("fleet.announcements", Message.SerializeAsString());
+}
+
+/// Offers the own roster's digest to one other entry host of the domain.
+void FleetKeeper::sendDigest() {
+  const std::vector<HostName> &Hosts = this->Links.domainEntryHosts();
+  if (Hosts.empty())
+    return;
+  const HostName &To = Hosts[this->NextDigestPeer++ % Hosts.size()];
+  message::RosterDigest Digest = digestOf(this->roster());
+  Digest.set_failure_domain(this->FailureDomain);
+  this->Links.post(To, "fleet.digest", Digest.SerializeAsString());
+}
+
+void FleetKeeper::rosterReceived(const message::RosterUpdate &Message) {
+  Roster New = fromMessage(Message);
+  if (New.FailureDomain != this->FailureDomain)
+    return;
+  std::lock_guard Guard(this->Lock);
+  this->Directory.rosterUpdated(New);
+  this->Planner.rosterSeen(New);
+}
+
+void FleetKeeper::digestReceived(const HostName &From,
+                                 const message::RosterDigest &Digest) {
+  Roster Known = this->roster();
+  Roster Other{.FailureDomain = Digest.failure_domain(),
+               .Epoch = Digest.epoch(),
+               .Sequence = Digest.sequence()};
+  if (Other.FailureDomain == this->FailureDomain && isNewer(Known, Other))
+    this->Links.post(From, "fleet.roster",
+                     toMessage(Known).SerializeAsString());
+}
+
+void FleetKeeper::tick() {
+  TimePoint Now = monotonicNow();
+  if (Now >= this->NextRelay) {
+    this->NextRelay = Now + this->RelayInterval;
+    this->sendRelays(Now);
+  }
+  std::vector<PlannerEffect> Effects;
+  bool NewSecond = Now >= this->NextSecond;
+  {
+    std::lock_guard Guard(this->Lock);
+    if (NewSecond)
+      this->Directory.tick(Now);
+    Effects = this->Planner.plan(Now);
+  }
+  this->carryOut(std::move(Effects));
+  if (!NewSecond)
+    return;
+  this->NextSecond = Now + OncePerSecond;
+  this->sendDigest();
+  for (const HostName &Host : this->Links.controlHosts())
+    asio::co_spawn(this->Executor, this->tellPresence(Host), asio::detached);
+}
+
+void FleetKeeper::carryOut(std::vector<PlannerEffect> Effects) {
+  for (PlannerEffect &Effect : Effects) {
+    if (auto *Send = std::get_if<SendOrder>(&Effect))
+      asio::co_spawn(this->Executor, this->sendOrder(std::move(*Send)),
+                     asio::detached);
+    else if (auto *Record = std::get_if<RecordOrder>(&Effect))
+      asio::co_spawn(this->Executor, this->recordOrder(std::move(*Record)),
+                     asio::detached);
+    else
+      this->publish(std::get<PublishRoster>(Effect).Published);
+  }
+}
+
+void FleetKeeper::publish(const Roster &Published) {
+  {
+    std::lock_guard Guard(this->Lock);
+    this->Directory.rosterUpdated(Published);
+  }
+  logEvent(Severity::Info, "roster-published",
+           {{"epoch", static_cast<std::int64_t>(Published.Epoch)},
+            {"sequence", static_cast<std::int64_t>(Published.Sequence)},
+            {"groups", static_cast<std::int64_t>(Published.Groups.size())}});
+  this->toDomain("fleet.roster", toMessage(Published).SerializeAsString());
+}
+
+asio::awaitable<void> FleetKeeper::sendOrder(SendOrder Effect) {
+  HttpRequest Request{.Method = "POST",
+                      .Target = std::string(OrderPath),
+                      .Headers = {{"Content-Type", "application/json"}},
+                      .Body = toJson(Effect.Sent)};
+  HttpCallOptions Options{.HeadTimeout = OrderHeadTimeout,
+                          .FreshConnection = true};
+  HttpAnswer Answer =
+      co_await this->Client.fetch(Effect.Address, std::move(Request),
+                                  std::move(Options), OrderAnswerBytes);
+  OrderResult Result = OrderResult::Unknown;
+  if (Answer.End == HttpCallEnd::NotWritten)
+    Result = OrderResult::NotSent;
+  else if (Answer.End == HttpCallEnd::Complete)
+    Result = Answer.Head.Status < 300 ? OrderResult::Accepted
+                                      : OrderResult::Refused;
+  logEvent(Severity::Info, "order-sent",
+           {{"endpoint", Effect.Endpoint},
+            {"number", static_cast<std::int64_t>(Effect.Sent.Number)},
+            {"group", Effect.Sent.Place.Group},
+            {"result", static_cast<std::int64_t>(Result)}});
+  std::lock_guard Guard(this->Lock);
+  this->Planner.orderAnswered(Effect.Sent.Number, Result);
+}
+
+static void addOrder(message::PlannerCommand::OpenOrder &To,
+                     const RecordedOrder &From) {
+  To.set_endpoint(From.Endpoint);
+  To.set_incarnation(From.Life);
+  To.set_number(From.Number);
+}
+
+asio::awaitable<void> FleetKeeper::recordOrder(RecordOrder Effect) {
+  message::PlannerCommand Command;
+  auto *Record = Command.mutable_record();
+  Record->set_failure_domain(this->FailureDomain);
+  std::uint64_t Epoch = 0;
+  {
+    std::lock_guard Guard(this->Lock);
+    Epoch = this->GrantEpoch;
+  }
+  Record->set_epoch(Epoch);
+  addOrder(*Record->add_orders(), Effect.Record);
+  for (const RecordedOrder &Each : Effect.Settled)
+    addOrder(*Record->add_settled(), Each);
+  std::string Bytes = controlCommand(Command);
+  for (;;) {
+    auto Result =
+        co_await this->Control.propose(ControlLog, Bytes, RecordBound);
+    std::lock_guard Guard(this->Lock);
+    // Under another epoch the record is refused for ever.
+    if (this->GrantEpoch != Epoch)
+      co_return;
+    if (Result.status() != message::LOG_COMMITTED)
+      continue;
+    if (Result.reply() == "taken")
+      this->Planner.orderRecorded(monotonicNow(), Effect.Record.Number);
+    co_return;
+  }
+}
+
+asio::awaitable<void> FleetKeeper::tellPresence(HostName ControlHost) {
+  WireLink *Link = this->Links.link(ControlHost);
+  if (!Link)
+    co_return;
+  message::PresenceCall Call;
+  Call.set_failure_domain(this->FailureDomain);
+  Call.set_incarnation(this->Life);
+  WireReply Reply = co_await Link->call(
+      "control.presence", Call.SerializeAsString(), PresenceTimeout);
+  message::PresenceResult Result;
+  if (Reply.End == WireCallEnd::Complete &&
+      Result.ParseFromString(Reply.Message))
+    this->presenceAnswered(Result);
+}
+
+void FleetKeeper::presenceAnswered(const message::PresenceResult &Result) {
+  std::lock_guard Guard(this->Lock);
+  // A control host that lags behind may still tell of an older epoch.
+  if (Result.epoch() <= this->NewestEpoch)
+    return;
+  this->NewestEpoch = Result.epoch();
+  bool Mine = Result.planner() == this->Self &&
+              Result.planner_incarnation() == this->Life;
+  if (!Mine) {
+    this->GrantEpoch = 0;
+    this->Planner.revoked();
+    return;
+  }
+  std::vector<RecordedOrder> Recorded;
+  for (const auto &Each : Result.orders())
+    Recorded.push_back({.Endpoint = Each.endpoint(),
+                        .Life = Each.incarnation(),
+                        .Number = Each.number()});
+  this->GrantEpoch = Result.epoch();
+  this->Planner.granted(monotonicNow(), Result.epoch(), Recorded);
+  logEvent(Severity::Info, "planner-grant-held",
+           {{"epoch", static_cast<std::int64_t>(Result.epoch())}});
+}
+
+template <class Message, class Handler>
+static WireHandler oneWay(Handler Take) {
+  return [Take = std::move(Take)](WireExchange &Call) -> asio::awaitable<void> {
+    Message Parsed;
+    if (Parsed.ParseFromString(Call.message()))
+      Take(Call.caller(), Parsed);
+    co_return;
+  };
+}
+
+void FleetKeeper::addHandlers(
+    std::map<std::string, WireHandler, std::less<>> &Table) {
+  Table["fleet.announcements"] = oneWay<message::AnnouncementRelay>(
+      [this](const HostName &, const message::AnnouncementRelay &Message) {
+        this->relayed(Message);
+      });
+  Table["fleet.roster"] = oneWay<message::RosterUpdate>(
+      [this](const HostName &, const message::RosterUpdate &Message) {
+        this->rosterReceived(Message);
+      });
+  Table["fleet.digest"] = oneWay<message::RosterDigest>(
+      [this](const HostName &From, const message::RosterDigest &Message) {
+        this->digestReceived(From, Message);
+      });
+  Table["fleet.outstanding"] = oneWay<message::OutstandingWork>(
+      [this](const HostName &, const message::OutstandingWork &Message) {
+        OutstandingReport Report = fromMessage(Message);
+        std::lock_guard Guard(this->Lock);
+        this->Planner.outstanding(monotonicNow(), Report);
+      });
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibServe/Forwarding.cpp
@@ -0,0 +1,208 @@
+//===- LibServe/Forwarding.cpp - Requests handed to another domain --------===//
+///
+/// \file
+/// Conversion between HTTP exchanges and the parts of a forwarded answer.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibServe/Forwarding.h>
+
+#include <LibServe/CallContext.h>
+
+namespace asio = boost::asio;
+
+namespace carobhinge {
+
+/// Added to the deadline, so that the other host's own refusal still arrives.
+static constexpr auto ForwardGrace = std::chrono::seconds(1);
+
+static message::ForwardCall toForwardCall(const HttpRequest &Request,
+                                          const std::string &RequestText,
+                                          Duration Remaining) {
+  message::ForwardCall Call;
+  Call.set_method(Request.Method);
+  Call.set_target(Request.Target);
+  Call.set_body(Request.Body);
+  auto Add = [&Call](std::string_view Name, std::string_view Value) {
+    auto *Field = Call.add_headers();
+    Field->set_name(std::string(Name));
+    Field->set_value(std::string(Value));
+  };
+  for (std::string_view Name :
+       {std::string_view("Content-Type"), header::Workspace, header::Class,
+        header::IdempotencyKey})
+    if (std::string_view Value = Request.Headers.value(Name); !Value.empty())
+      Add(Name, Value);
+  Add(header::RequestId, RequestText);
+  Add(header::DeadlineMs, std::to_string(milliseconds(Remaining)));
+  return Call;
+}
+
+/// Hop-by-hop fields, which the next answer makes for itself.
+static bool isConnectionField(std::string_view Name) {
+  return Name == "Content-Length" || Name == "Connection" ||
+         Name == "Transfer-Encoding" || Name == "Content-Type" ||
+         Name == "Keep-Alive";
+}
+
+static HttpResponseHead headOf(const message::ForwardPart::Head &From,
+                               std::string &ContentType) {
+  HttpResponseHead Head{.Status = From.status()};
+  for (const auto &Field : From.headers()) {
+    if (Field.name() == "Content-Type")
+      ContentType = Field.value();
+    else if (!isConnectionField(Field.name()))
+      Head.Headers.add(Field.name(), Field.value());
+  }
+  return Head;
+}
+
+namespace {
+
+/// Rebuilds the answer at the caller from its parts.
+class AnswerRelay {
+public:
+  explicit AnswerRelay(HttpExchange &Exchange) : Exchange(Exchange) {}
+
+  asio::awaitable<void> take(message::ForwardPart Part) {
+    if (Part.has_head()) {
+      this->Streamed = Part.head().streamed();
+      this->Whole.Status = Part.head().status();
+      HttpResponseHead Head = headOf(Part.head(), this->Whole.ContentType);
+      this->Whole.Headers = Head.Headers;
+      if (!this->Streamed)
+        co_return;
+      this->Started = true;
+      Head.Headers.add("Content-Type", this->Whole.ContentType);
+      co_await this->Exchange.startStream(std::move(Head));
+    } else if (Part.has_end()) {
+      co_await this->finish();
+    } else if (this->Streamed) {
+      co_await this->Exchange.writeChunk(std::move(*Part.mutable_chunk()));
+    } else {
+      this->Whole.Body += Part.chunk();
+    }
+  }
+
+  [[nodiscard]] bool finished() const { return this->Finished; }
+  [[nodiscard]] bool started() const { return this->Started; }
+
+private:
+  asio::awaitable<void> finish() {
+    this->Finished = true;
+    if (this->Streamed)
+      co_await this->Exchange.finishStream();
+    else
+      co_await this->Exchange.respond(std::move(this->Whole));
+  }
+
+  HttpExchange &Exchange;
+  bool Streamed = false;
+  bool Started = false;
+  bool Finished = false;
+  HttpResponse Whole;
+};
+
+/// A forwarded request as the code that serves callers sees it.
+class ForwardedExchange : public HttpExchange {
+public:
+  ForwardedExchange(WireExchange &Call, HttpRequest Request)
+      : Call(Call), Request(std::move(Request)) {}
+
+  [[nodiscard]] const HttpRequest &request() const override {
+    return this->Request;
+  }
+  asio::awaitable<void> respond(HttpResponse Response) override {
+    HttpResponseHead Head{.Status = Response.Status,
+                          .Headers = Response.Headers};
+    Head.Headers.add("Content-Type", Response.ContentType);
+    co_await this->sendHead(Head, false);
+    co_await this->writeChunk(std::move(Response.Body));
+    co_await this->finishStream();
+  }
+  asio::awaitable<void> startStream(HttpResponseHead Head) override {
+    return this->sendHead(std::move(Head), true);
+  }
+  asio::awaitable<void> writeChunk(std::string Data) override {
+    if (Data.empty())
+      co_return;
+    message::ForwardPart Part;
+    Part.set_chunk(std::move(Data));
+    co_await this->Call.send(Part.SerializeAsString());
+  }
+  asio::awaitable<void> finishStream() override {
+    message::ForwardPart Part;
+    Part.mutable_end();
+    co_await this->Call.send(Part.SerializeAsString());
+  }
+  void onCallerGone(std::function<void()> Gone) override {
+    this->Call.onCallerGone(std::move(Gone));
+  }
+  [[nodiscard]] bool callerGone() const override {
+    return this->Call.callerGone();
+  }
+
+private:
+  asio::awaitable<void> sendHead(HttpResponseHead Head, bool Streamed) {
+    message::ForwardPart Part;
+    Part.mutable_head()->set_status(Head.Status);
+    Part.mutable_head()->set_streamed(Streamed);
+    for (const HttpHeader &Field : Head.Headers.fields()) {
+      auto *Copy = Part.mutable_head()->add_headers();
+      Copy->set_name(Field.Name);
+      Copy->set_value(Field.Value);
+    }
+    co_await this->Call.send(Part.SerializeAsString());
+  }
+
+  WireExchange &Call;
+  HttpRequest Request;
+};
+
+} // namespace
+
+asio::awaitable<ForwardEnd>
+forwardRequest(HttpExchange &Exchange, Peers &Links, HostName To,
+               TimePoint Deadline, std::string RequestText) {
+  WireLink *Link = Links.link(To);
+  if (!Link)
+    co_return ForwardEnd::NotSent;
+  auto Request = toForwardCall(Exchange.request(), RequestText,
+                               Deadline - monotonicNow());
+  auto Call = Link->start("serve.forward", Request.SerializeAsString());
+  Exchange.onCallerGone([Call] { Call->cancel(); });
+  AnswerRelay Relay(Exchange);
+  while (auto Message = co_await Call->next(Deadline + ForwardGrace -
+                                            monotonicNow())) {
+    message::ForwardPart Part;
+    if (!Part.ParseFromString(*Message))
+      break;
+    co_await Relay.take(std::move(Part));
+  }
+  Exchange.onCallerGone(nullptr);
+  if (Relay.finished())
+    co_return ForwardEnd::Complete;
+  Call->cancel();
+  if (Relay.started())
+    co_return ForwardEnd::BrokenOff;
+  co_return Call->end() == WireCallEnd::NotSent ? ForwardEnd::NotSent
+                                                : ForwardEnd::Lost;
+}
+
+WireHandler forwardHandler(HttpHandler Handler) {
+  return [Handler = std::move(Handler)](
+             WireExchange &Call) -> asio::awaitable<void> {
+    message::ForwardCall Asked;
+    if (!Asked.ParseFromString(Call.message()))
+      throw std::runtime_error("a forwarded request cannot be decoded");
+    HttpRequest Request{.Method = Asked.method(),
+                        .Target = Asked.target(),
+                        .Body = std::move(*Asked.mutable_body())};
+    for (const auto &Field : Asked.headers())
+      Request.Headers.add(Field.name(), Field.value());
+    ForwardedExchange Exchange(Call, std::move(Request));
+    co_await Handler(Exchange);
+  };
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibServe/IntentKeeper.h
@@ -0,0 +1,52 @@
+//===- LibServe/IntentKeeper.h - The intent in force on this host ---------===//
+///
+/// \file
+/// Drives IntentInForce and Dissemination: feeds them messages, time and what
+/// the control log accepted, and sends what they want sent.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBSERVE_INTENTKEEPER_H
+#define LIBSERVE_INTENTKEEPER_H
+
+#include <LibIntent/Dissemination.h>
+#include <LibIntent/IntentInForce.h>
+#include <LibServe/Peers.h>
+#include <mutex>
+
+namespace carobhinge {
+
+/// Thread-safe.
+class IntentKeeper {
+public:
+  IntentKeeper(const Settings &Own, Peers &Links);
+
+  /// The control log of this host accepted a version.
+  void accepted(std::uint64_t Version, const std::string &Text);
+  /// See Dissemination::confirmCurrent().
+  void confirmed(TimePoint ReadBegan);
+  void received(const HostName &From, const message::IntentMessage &Message);
+  void tick();
+
+  /// Null before the first version, and if it is unreadable to this release.
+  [[nodiscard]] std::shared_ptr<const Intent> intent() const;
+  [[nodiscard]] std::uint64_t version() const;
+  [[nodiscard]] std::string textDigest() const;
+  [[nodiscard]] std::string text() const;
+  [[nodiscard]] DomainRefusal refusal() const;
+  [[nodiscard]] bool ready() const;
+  /// An operator's order on the spot; false if this host is not ready.
+  bool hold(bool Held, std::string_view Operator, std::int64_t StampMs);
+
+private:
+  void send(std::vector<IntentSend> Messages);
+
+  Peers &Links;
+  mutable std::mutex Lock;
+  IntentInForce InForce;
+  Dissemination Spread;
+};
+
+} // namespace carobhinge
+
+#endif // LIBSERVE_INTENTKEEPER_H
--- /dev/null
+++ b/Libraries/LibServe/Neighbours.cpp
@@ -0,0 +1,75 @@
+//===- LibServe/Neighbours.cpp - What other failure domains can take ------===//
+///
+/// \file
+/// Keeping and adding up summaries.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibServe/Neighbours.h>
+
+namespace carobhinge {
+
+/// A host that was silent for longer is left out.
+static constexpr auto SummaryLifetime = std::chrono::seconds(3);
+
+static const message::ServiceSummaries::Item *
+findItem(const message::ServiceSummaries &In, const ServiceName &Service) {
+  for (const auto &Item : In.items())
+    if (Item.service() == Service)
+      return &Item;
+  return nullptr;
+}
+
+void Neighbours::received(const HostName &From,
+                          const message::ServiceSummaries &Message) {
+  const Peer *Known = this->Links.find(From);
+  if (!Known || Known->FailureDomain != Message.failure_domain())
+    return;
+  std::lock_guard Guard(this->Lock);
+  this->Hosts[From] = Told{.Message = Message, .At = monotonicNow()};
+}
+
+std::vector<DomainSummary>
+Neighbours::summaries(const ServiceName &Service) const {
+  TimePoint Now = monotonicNow();
+  std::map<FailureDomainName, DomainSummary> Sums;
+  std::lock_guard Guard(this->Lock);
+  for (const auto &[Host, Each] : this->Hosts) {
+    const auto *Item = findItem(Each.Message, Service);
+    if (!Item || Now - Each.At > SummaryLifetime)
+      continue;
+    DomainSummary &Sum = Sums[Each.Message.failure_domain()];
+    Sum.FailureDomain = Each.Message.failure_domain();
+    Sum.Service = Service;
+    Sum.SpareSlots += Item->spare_slots();
+    Sum.Queued += Item->queued();
+    Sum.Out = Sum.Out || Each.Message.out();
+    Sum.ReceivedAt = std::max(Sum.ReceivedAt, Each.At);
+  }
+  std::vector<DomainSummary> Result;
+  for (auto &[Domain, Sum] : Sums)
+    Result.push_back(std::move(Sum));
+  return Result;
+}
+
+HostName Neighbours::choose(const FailureDomainName &Domain,
+                            const ServiceName &Service) const {
+  TimePoint Now = monotonicNow();
+  HostName Best;
+  std::int64_t MostRoom = -1;
+  std::lock_guard Guard(this->Lock);
+  for (const auto &[Host, Each] : this->Hosts) {
+    const auto *Item = findItem(Each.Message, Service);
+    WireLink *Link = this->Links.link(Host);
+    bool Usable = Item && Link && Link->connected() && !Each.Message.out() &&
+                  Each.Message.failure_domain() == Domain &&
+                  Now - Each.At <= SummaryLifetime;
+    if (!Usable || Item->spare_slots() <= MostRoom)
+      continue;
+    MostRoom = Item->spare_slots();
+    Best = Host;
+  }
+  return Best;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibServe/NonIdempotentCall.cpp
@@ -0,0 +1,381 @@
+//===- LibServe/NonIdempotentCall.cpp - Serves a call that must not repeat ===//
+///
+/// \file
+/// One function for each effect of the decision; the results come back to it
+/// as events.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibServe/NonIdempotentCall.h>
+
+#include <LibCore/Hash.h>
+#include <LibTelemetry/Log.h>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace asio = boost::asio;
+
+namespace carobhinge {
+
+static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+/// How long one question to the ledger may take.
+static constexpr auto LedgerBound = std::chrono::seconds(2);
+/// How long a release is tried before the claim is left to retirement.
+static constexpr auto ReleaseBound = std::chrono::seconds(30);
+static constexpr auto ChunkTimeout = std::chrono::seconds(10);
+static constexpr std::size_t AnswerBytes = 8 * 1024 * 1024;
+
+static std::string contentDigest(const CallContext &Call,
+                                 const HttpRequest &Request) {
+  return digest(Request.Method + "\n" + Call.Target + "\n" + Request.Body);
+}
+
+static CallAttemptOptions attemptOptions(const ServeParts &Parts,
+                                         const CallContext &Call,
+                                         const message::LedgerKey &Key,
+                                         std::string ContentDigest) {
+  CallAttemptOptions Options;
+  Options.Key = Key;
+  Options.ContentDigest = std::move(ContentDigest);
+  Options.Attempt.set_host(Parts.Own.Host);
+  Options.Attempt.set_incarnation(Parts.Life);
+  Options.Attempt.set_attempt(++Parts.LastAttempt);
+  Options.BodyBytes = static_cast<std::size_t>(Parts.Own.Bounds.OutcomeBytes);
+  const KeySpec &Rule = *Call.Call->Key;
+  Options.Rule = Rule.Rule == KeyRule::Dated ? message::LEDGER_KEY_DATED
+                                             : message::LEDGER_KEY_KEPT;
+  Options.RetentionDays = static_cast<std::uint32_t>(Rule.RetentionDays);
+  return Options;
+}
+
+static message::LedgerKey ledgerKey(const CallContext &Call) {
+  message::LedgerKey Key;
+  Key.set_workspace(Call.Traffic.Workspace);
+  Key.set_service(Call.Service->Name);
+  Key.set_key(Call.IdempotencyKey);
+  return Key;
+}
+
+NonIdempotentCall::NonIdempotentCall(asio::any_io_executor Strand,
+                                     ServeParts &Parts, CallContext Given,
+                                     HttpRequest Request)
+    : Strand(Strand), Parts(Parts), Call(std::move(Given)),
+      Request(std::move(Request)),
+      Routing(*Parts.Routers.find(this->Call.Service->Name)),
+      Key(ledgerKey(this->Call)),
+      ContentDigest(contentDigest(this->Call, this->Request)),
+      Decision(attemptOptions(Parts, this->Call, this->Key,
+                              this->ContentDigest)),
+      Inbox(this->Routing.makeInbox()), DeadlineTimer(Strand), End(Strand, 1) {}
+
+asio::awaitable<NonIdempotentEnd> NonIdempotentCall::answer() {
+  asio::post(this->Strand, [Self = this->shared_from_this()] { Self->start(); });
+  auto [Error, Given] = co_await this->End.async_receive(UseTuple);
+  co_return std::move(Given);
+}
+
+void NonIdempotentCall::callerGone() {
+  asio::post(this->Strand, [Self = this->shared_from_this()] {
+    Self->handle(CallerGone{});
+    Self->End.try_send(asio::error::eof, NonIdempotentEnd());
+  });
+}
+
+void NonIdempotentCall::spawn(asio::awaitable<void> Work) {
+  ++this->Parts.Background;
+  asio::co_spawn(this->Strand, std::move(Work),
+                 [Self = this->shared_from_this()](std::exception_ptr) {
+                   --Self->Parts.Background;
+                 });
+}
+
+void NonIdempotentCall::start() {
+  this->spawn(this->after(this->Call.Deadline - monotonicNow(),
+                          DeadlinePassed{}));
+  std::vector<CallEffect> Effects;
+  {
+    std::lock_guard Guard(this->Lock);
+    Effects = this->Decision.start();
+  }
+  this->carryOut(std::move(Effects));
+}
+
+void NonIdempotentCall::handle(const CallEvent &Event) {
+  std::vector<CallEffect> Effects;
+  {
+    std::lock_guard Guard(this->Lock);
+    Effects = this->Decision.handle(Event);
+  }
+  this->carryOut(std::move(Effects));
+}
+
+void NonIdempotentCall::carryOut(std::vector<CallEffect> Effects) {
+  for (const CallEffect &Effect : Effects)
+    std::visit([this](const auto &Each) { this->on(Each); }, Effect);
+  bool Over = false;
+  {
+    std::lock_guard Guard(this->Lock);
+    Over = this->Decision.ended();
+  }
+  if (!Over || std::exchange(this->Ended, true))
+    return;
+  this->DeadlineTimer.cancel();
+  this->Inbox->close();
+  this->End.try_send(asio::error::eof, NonIdempotentEnd());
+}
+
+asio::awaitable<void> NonIdempotentCall::after(Duration Length,
+                                               CallEvent Event) {
+  this->DeadlineTimer.expires_after(Length);
+  auto [Error] = co_await this->DeadlineTimer.async_wait(UseTuple);
+  if (!Error)
+    this->handle(Event);
+}
+
+//===----------------------------------------------------------------------===//
+// The ledger
+//===----------------------------------------------------------------------===//
+
+void NonIdempotentCall::on(const AskOpen &) {
+  this->spawn(this->open(false, Duration::zero()));
+}
+
+void NonIdempotentCall::on(const AskJoin &Effect) {
+  this->spawn(this->open(true, Effect.After));
+}
+
+static asio::awaitable<void> sleepFor(Duration Length) {
+  if (Length <= Duration::zero())
+    co_return;
+  asio::steady_timer Timer(co_await asio::this_coro::executor, Length);
+  co_await Timer.async_wait(UseTuple);
+}
+
+asio::awaitable<void> NonIdempotentCall::open(bool Join, Duration After) {
+  co_await sleepFor(After);
+  auto Reply = co_await this->Parts.Control.open(this->Key,
+                                                 this->ContentDigest,
+                                                 LedgerBound);
+  if (!Reply)
+    this->handle(LedgerUnreachable{});
+  else if (Join)
+    this->handle(JoinAnswered{*Reply});
+  else
+    this->handle(Opened{*Reply});
+}
+
+void NonIdempotentCall::on(const AskClaim &Effect) {
+  this->spawn(this->claim(Effect.Command));
+}
+
+asio::awaitable<void> NonIdempotentCall::claim(message::LedgerCommand Command) {
+  std::uint32_t Number = Command.claim().dispatch();
+  auto Reply = co_await this->Parts.Control.proposeLedger(
+      this->Key, std::move(Command), LedgerBound);
+  if (Reply)
+    this->handle(ClaimAnswered{*Reply});
+  else
+    this->handle(ClaimLost{Number});
+}
+
+void NonIdempotentCall::on(const AskRelease &Effect) {
+  this->spawn(this->release(Effect.Command));
+}
+
+asio::awaitable<void>
+NonIdempotentCall::release(message::LedgerCommand Command) {
+  TimePoint GiveUpAt = monotonicNow() + ReleaseBound;
+  while (monotonicNow() < GiveUpAt)
+    if (co_await this->Parts.Control.proposeLedger(this->Key, Command,
+                                                   LedgerBound))
+      co_return;
+}
+
+void NonIdempotentCall::on(const AskRecord &Effect) {
+  if (!std::exchange(this->RecordBoundStarted, true)) {
+    // The deadline no longer matters; its timer serves the record's bound.
+    this->DeadlineTimer.cancel();
+    this->spawn(this->after(CallAttemptOptions().RecordBound,
+                            RecordBoundPassed{}));
+  }
+  this->spawn(this->record(Effect));
+}
+
+asio::awaitable<void> NonIdempotentCall::record(AskRecord Effect) {
+  co_await sleepFor(Effect.After);
+  auto Reply = co_await this->Parts.Control.proposeLedger(
+      this->Key, std::move(Effect.Command), LedgerBound);
+  if (Reply)
+    this->handle(OutcomeRecorded{});
+  else
+    this->handle(RecordLost{});
+}
+
+void NonIdempotentCall::on(const AskClose &Effect) {
+  this->spawn(this->closeKey(Effect));
+}
+
+asio::awaitable<void> NonIdempotentCall::closeKey(AskClose Effect) {
+  co_await sleepFor(Effect.After);
+  auto Reply = co_await this->Parts.Control.proposeLedger(
+      this->Key, std::move(Effect.Command), LedgerBound);
+  if (Reply)
+    this->handle(CloseAnswered{*Reply});
+  else
+    this->handle(CloseLost{});
+}
+
+//===----------------------------------------------------------------------===//
+// Routing
+//===----------------------------------------------------------------------===//
+
+void NonIdempotentCall::on(const EnterQueue &) {
+  RoutedRequest Routed = this->Call.routed();
+  this->Queued = this->Routing.submit(std::move(Routed), this->Inbox);
+  this->spawn(this->followRouting());
+}
+
+void NonIdempotentCall::on(const LeaveQueue &) {
+  this->Routing.callerGone(this->Queued);
+}
+
+/// Waits for the one effect that ends the wait in the queue.
+asio::awaitable<void> NonIdempotentCall::followRouting() {
+  for (;;) {
+    auto [Error, Effect] = co_await this->Inbox->async_receive(UseTuple);
+    if (Error)
+      co_return;
+    if (std::holds_alternative<CancelAttempt>(Effect))
+      continue;
+    this->takeRouting(Effect);
+    co_return;
+  }
+}
+
+void NonIdempotentCall::takeRouting(const RoutingEffect &Effect) {
+  if (const auto *Sent = std::get_if<Dispatch>(&Effect)) {
+    this->Slot = Sent->Attempt;
+    this->SlotEnd = AttemptResult::Cancelled;
+    this->handle(SlotChosen{Sent->TargetName, Sent->Address});
+  } else if (const auto *Why = std::get_if<Refuse>(&Effect)) {
+    this->handle(RefusedByRouting{std::string(reasonWord(Why->Reason)),
+                                  Why->RetryAfter});
+  } else {
+    // Nothing stands in the ledger for a queued attempt, so that the other
+    // failure domain can take the call over whole.
+    NonIdempotentEnd HandOver;
+    HandOver.HandOver = std::get<Forward>(Effect).FailureDomain;
+    this->Ended = true;
+    this->DeadlineTimer.cancel();
+    this->End.try_send(boost::system::error_code(), std::move(HandOver));
+  }
+}
+
+void NonIdempotentCall::on(const ReleaseSlot &) {
+  if (this->Slot == 0)
+    return;
+  // Routing must not dispatch the request again by itself; another slot is
+  // asked for by entering the queue anew.
+  if (this->SlotEnd != AttemptResult::Complete)
+    this->Routing.callerGone(this->Queued);
+  this->Routing.finished(std::exchange(this->Slot, 0), {this->SlotEnd, {}});
+  this->Routing.forget(this->Queued);
+}
+
+//===----------------------------------------------------------------------===//
+// The endpoint
+//===----------------------------------------------------------------------===//
+
+void NonIdempotentCall::on(const DispatchCall &Effect) {
+  this->Connection = std::make_shared<HttpCallControl>();
+  this->spawn(this->dispatch(Effect));
+}
+
+void NonIdempotentCall::on(const CancelDispatch &) {
+  if (this->Connection)
+    this->Connection->cancel();
+}
+
+HttpRequest NonIdempotentCall::requestFor() const {
+  HttpRequest Sent{.Method = this->Request.Method,
+                   .Target = this->Call.Target,
+                   .Headers = {},
+                   .Body = this->Request.Body};
+  if (std::string_view Type = this->Request.Headers.value("Content-Type");
+      !Type.empty())
+    Sent.Headers.add("Content-Type", Type);
+  Sent.Headers.add(header::RequestId, this->Call.RequestText);
+  Sent.Headers.add(header::Workspace, this->Call.Traffic.Workspace);
+  Sent.Headers.add(header::IdempotencyKey, this->Call.IdempotencyKey);
+  return Sent;
+}
+
+namespace {
+
+/// Collects a whole answer and gives the connection up if it grows too long.
+class CollectedAnswer : public HttpAnswerSink {
+public:
+  asio::awaitable<void> head(const HttpResponseHead &Head) override {
+    this->Answer.Status = Head.Status;
+    this->Answer.ContentType = Head.Headers.value("Content-Type");
+    co_return;
+  }
+  asio::awaitable<void> chunk(std::string Data) override {
+    if (this->Answer.Body.size() + Data.size() > AnswerBytes)
+      throw std::length_error("the answer is too long");
+    this->Answer.Body += Data;
+    co_return;
+  }
+
+  AnswerRead Answer;
+};
+
+} // namespace
+
+asio::awaitable<void> NonIdempotentCall::dispatch(DispatchCall Effect) {
+  std::shared_ptr<HttpCallControl> Control = this->Connection;
+  CollectedAnswer Sink;
+  HttpCallOptions Options{
+      .HeadTimeout = std::max<Duration>(this->Call.Deadline - monotonicNow(),
+                                        std::chrono::milliseconds(1)),
+      .ChunkTimeout = ChunkTimeout,
+      .FreshConnection = true};
+  // The decision learns of the first byte before it is written, and has the
+  // last word on whether it is.
+  Options.BeforeWrite = [this, &Effect] {
+    std::lock_guard Guard(this->Lock);
+    for (const CallEffect &Each :
+         this->Decision.handle(ByteWritten{Effect.Number}))
+      if (std::holds_alternative<CancelDispatch>(Each))
+        return false;
+    return true;
+  };
+  HttpCallEnd End = HttpCallEnd::BrokenOff;
+  try {
+    End = co_await this->Parts.Endpoints.perform(
+        Effect.Address, this->requestFor(), std::move(Options), Sink, *Control);
+  } catch (const std::exception &) {
+    End = HttpCallEnd::BrokenOff;
+  }
+  if (End == HttpCallEnd::NotWritten) {
+    this->SlotEnd = AttemptResult::FailedBeforeByte;
+    this->handle(ConnectFailed{Effect.Number});
+  } else if (End == HttpCallEnd::Complete) {
+    this->SlotEnd = AttemptResult::Complete;
+    Sink.Answer.Complete = true;
+    this->handle(Sink.Answer);
+  } else {
+    this->SlotEnd = AttemptResult::FailedAfterByte;
+    this->handle(BrokenOff{});
+  }
+}
+
+void NonIdempotentCall::on(const Answer &Effect) {
+  NonIdempotentEnd Result;
+  Result.Given = Effect;
+  this->End.try_send(boost::system::error_code(), std::move(Result));
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibServe/OperatorService.cpp
@@ -0,0 +1,284 @@
+//===- LibServe/OperatorService.cpp - Answers operators -------------------===//
+///
+/// \file
+/// One function for each path of the operators' interface.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibServe/OperatorService.h>
+
+#include <LibCore/JsonReader.h>
+#include <LibServe/CallContext.h>
+#include <LibServe/Problem.h>
+#include <charconv>
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace carobhinge {
+
+static constexpr std::string_view OperatorHeader = "Carobhinge-Operator";
+/// How long an operator's change may take to be committed.
+static constexpr auto ApplyBound = std::chrono::seconds(8);
+static constexpr auto HistoryBound = std::chrono::seconds(5);
+static constexpr auto AskAgainSoon = std::chrono::seconds(1);
+
+static HttpResponse jsonResponse(unsigned Status, const json::object &Body) {
+  return {.Status = Status, .Body = json::serialize(Body) + "\n"};
+}
+
+static std::int64_t wallClockMs() {
+  auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Now).count();
+}
+
+asio::awaitable<void> OperatorService::handle(HttpExchange &Exchange) {
+  const HttpRequest &Request = Exchange.request();
+  std::string Route = Request.Method + " " + std::string(Request.path());
+  HttpResponse Response{.Status = 404, .Body = "{\"error\":\"no such path\"}\n"};
+  if (Route == "GET /health")
+    Response = jsonResponse(200, {{"health", "ok"}});
+  else if (Route == "GET /ready")
+    Response = this->ready();
+  else if (Route == "GET /metrics")
+    Response = this->metrics();
+  else if (Route == "GET /v1/status")
+    Response = this->status();
+  else if (Route == "GET /v1/intent")
+    Response = this->currentIntent();
+  else if (Route == "POST /v1/hold")
+    Response = this->hold(Request);
+  else if (Route == "GET /v1/history")
+    Response = co_await this->history();
+  else if (Route == "POST /v1/intent")
+    Response = co_await this->apply(Request);
+  co_await Exchange.respond(std::move(Response));
+}
+
+HttpResponse OperatorService::ready() const {
+  DomainRefusal Refusal = this->Parts.Intents.refusal();
+  bool Ready = !this->Stopping && this->Parts.Intents.intent() &&
+               Refusal != DomainRefusal::NotReady;
+  std::string_view Why = this->Stopping ? "stopping" : refusalName(Refusal);
+  return jsonResponse(Ready ? 200 : 503, {{"ready", Ready}, {"domain", Why}});
+}
+
+HttpResponse OperatorService::metrics() const {
+  this->Parts.Figures.setGauge(
+      "intent_version", static_cast<double>(this->Parts.Intents.version()));
+  return {.Status = 200,
+          .ContentType = "text/plain; version=0.0.4",
+          .Body = this->Parts.Figures.render()};
+}
+
+static std::string_view roleName(Role Current) {
+  switch (Current) {
+  case Role::Leader:
+    return "leader";
+  case Role::Follower:
+    return "follower";
+  case Role::Learner:
+    return "learner";
+  default:
+    return "not-voting";
+  }
+}
+
+static json::object logStatus(std::uint32_t Number, const LogStatus &Log) {
+  return {{"log", Number},
+          {"role", roleName(Log.Current)},
+          {"term", Log.Term},
+          {"leader", Log.Leader},
+          {"commit", Log.Commit},
+          {"applied", Log.Applied},
+          {"voters", json::value_from(Log.Voters)},
+          {"learners", json::value_from(Log.Learners)},
+          {"repair_complete", Log.RepairComplete},
+          {"last_error", Log.LastError}};
+}
+
+static std::string_view stateName(GroupState State) {
+  switch (State) {
+  case GroupState::Forming:
+    return "forming";
+  case GroupState::Serving:
+    return "serving";
+  case GroupState::Draining:
+    return "draining";
+  case GroupState::Broken:
+    break;
+  }
+  return "broken";
+}
+
+static json::array groupList(const Roster &From) {
+  json::array Groups;
+  for (const RosterGroup &Group : From.Groups) {
+    json::array Members;
+    for (const RosterMember &Member : Group.Members)
+      Members.push_back(json::value(Member.Endpoint));
+    Groups.push_back(json::object{{"group", Group.Group},
+                                  {"number", Group.Number},
+                                  {"service", Group.Service},
+                                  {"state", stateName(Group.State)},
+                                  {"members", std::move(Members)}});
+  }
+  return Groups;
+}
+
+static json::object serviceStatus(const ServiceName &Name,
+                                  const RouterStatus &Router) {
+  json::array Targets;
+  for (const TargetUse &Each : Router.Targets)
+    Targets.push_back(json::object{{"target", Each.TargetName},
+                                   {"outstanding", Each.Outstanding},
+                                   {"slot_limit", Each.SlotLimit},
+                                   {"straggler", Each.Straggler},
+                                   {"aside", Each.Aside}});
+  return {{"service", Name},
+          {"queued", Router.Queued},
+          {"in_flight", Router.InFlight},
+          {"targets", std::move(Targets)}};
+}
+
+HttpResponse OperatorService::status() const {
+  json::array Logs;
+  if (this->Local) {
+    std::uint32_t Number = 0;
+    for (const LogStatus &Log : this->Local->status())
+      Logs.push_back(logStatus(Number++, Log));
+  }
+  json::array Services;
+  for (const auto &[Name, Router] : this->Parts.Routers.all())
+    Services.push_back(serviceStatus(Name, Router->status()));
+  json::array Peers;
+  for (const Peer &Each : this->Parts.Links.all()) {
+    const WireLink *Link = this->Parts.Links.link(Each.Host);
+    Peers.push_back(json::object{{"host", Each.Host},
+                                 {"connected", Link->connected()},
+                                 {"last_error", Link->lastError()}});
+  }
+  return jsonResponse(
+      200, {{"host", this->Parts.Own.Host},
+            {"failure_domain", this->Parts.Own.FailureDomain},
+            {"intent_version", this->Parts.Intents.version()},
+            {"intent_digest", this->Parts.Intents.textDigest()},
+            {"domain", refusalName(this->Parts.Intents.refusal())},
+            {"planner", this->Parts.Fleet.isPlanner()},
+            {"ledger_registered", this->Parts.LifeRegistered.load()},
+            {"groups", groupList(this->Parts.Fleet.roster())},
+            {"services", std::move(Services)},
+            {"logs", std::move(Logs)},
+            {"peers", std::move(Peers)}});
+}
+
+HttpResponse OperatorService::currentIntent() const {
+  HttpResponse Response{.Body = this->Parts.Intents.text()};
+  Response.Headers.add("Carobhinge-Version",
+                       std::to_string(this->Parts.Intents.version()));
+  if (Response.Body.empty())
+    Response.Status = 404;
+  return Response;
+}
+
+HttpResponse OperatorService::hold(const HttpRequest &Request) {
+  Findings Faults;
+  std::optional<json::value> Body = parseJson(Request.Body, Faults);
+  bool Held = false;
+  if (Body) {
+    JsonReader Reader(*Body, "", Faults);
+    if (!Reader.has("held"))
+      Reader.report("held", "true or false", "nothing");
+    Held = Reader.optionalBool("held", false);
+    Reader.finish();
+  }
+  if (!Faults.empty())
+    return jsonResponse(400, {{"error", Faults.report()}});
+  std::string_view Operator = Request.Headers.value(OperatorHeader);
+  if (!this->Parts.Intents.hold(Held, Operator, wallClockMs()))
+    return jsonResponse(503, {{"error", "this host is not ready; it refuses "
+                                        "work anyway"}});
+  return jsonResponse(200, {{"held", Held}});
+}
+
+static json::object entryObject(const message::IntentEntry &Entry) {
+  return {{"version", Entry.version()},
+          {"operator", Entry.operator_name()},
+          {"stamp_ms", Entry.stamp_ms()},
+          {"digest", Entry.digest()}};
+}
+
+asio::awaitable<HttpResponse> OperatorService::history() {
+  auto State = co_await this->Parts.Control.history(HistoryBound);
+  message::IntentRegisterState Read;
+  if (!State || !Read.ParseFromString(*State)) {
+    Problem Why{.Status = 503,
+                .Reason = "no-quorum",
+                .RetryAfter = AskAgainSoon};
+    co_return Why.response("");
+  }
+  json::array Entries;
+  for (const message::IntentEntry &Entry : Read.history())
+    Entries.push_back(entryObject(Entry));
+  co_return jsonResponse(200, {{"history", std::move(Entries)}});
+}
+
+/// What became of a proposed change, as the operator sees it.
+static HttpResponse applyResponse(const message::ProposeResult &Result) {
+  message::IntentResult Outcome;
+  if (Result.status() == message::LOG_COMMITTED &&
+      Outcome.ParseFromString(Result.reply())) {
+    if (Outcome.has_accepted())
+      return jsonResponse(200, {{"accepted", entryObject(Outcome.accepted())}});
+    if (Outcome.has_conflict()) {
+      json::object Body{
+          {"error", "the base version is not the current one"},
+          {"current", entryObject(Outcome.conflict().current())}};
+      if (Outcome.conflict().has_winner())
+        Body["winner"] = entryObject(Outcome.conflict().winner());
+      return jsonResponse(409, Body);
+    }
+  }
+  Problem Why{.Status = 503,
+              .NotRun = Result.status() == message::LOG_NOT_LEADER,
+              .Reason = "no-quorum",
+              .Detail = "Sending the very same text on the same base again is "
+                        "safe: it gets its first acceptance.",
+              .RetryAfter = AskAgainSoon};
+  return Why.response("");
+}
+
+asio::awaitable<HttpResponse>
+OperatorService::apply(const HttpRequest &Request) {
+  std::string_view Base = Request.queryValue("base");
+  std::uint64_t BaseVersion = 0;
+  auto [End, Code] =
+      std::from_chars(Base.data(), Base.data() + Base.size(), BaseVersion);
+  if (Base.empty() || Code != std::errc() || End != Base.data() + Base.size())
+    co_return jsonResponse(400, {{"error", "base must be a version number"}});
+  std::string_view Operator = Request.Headers.value(OperatorHeader);
+  if (Operator.empty())
+    co_return jsonResponse(400, {{"error", "Carobhinge-Operator is missing"}});
+  Findings Faults;
+  std::optional<Intent> Wanted = parseIntent(Request.Body, Faults);
+  if (Wanted && Wanted->Cluster != this->Parts.Own.Cluster)
+    Faults.add("/cluster", this->Parts.Own.Cluster, Wanted->Cluster);
+  if (!Faults.empty()) {
+    json::array List;
+    for (const Finding &Each : Faults.items())
+      List.push_back(json::object{{"place", Each.Place},
+                                  {"expected", Each.Expected},
+                                  {"found", Each.Found}});
+    co_return jsonResponse(422, {{"error", "the text has findings"},
+                                 {"findings", std::move(List)}});
+  }
+  message::IntentCommand Command;
+  Command.set_base_version(BaseVersion);
+  Command.set_operator_name(std::string(Operator));
+  Command.set_text(Request.Body);
+  auto Result = co_await this->Parts.Control.propose(
+      ControlLog, controlCommand(Command), ApplyBound);
+  co_return applyResponse(Result);
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibServe/OperatorService.h
@@ -0,0 +1,43 @@
+//===- LibServe/OperatorService.h - Answers operators ---------------------===//
+///
+/// \file
+/// Health, readiness, metrics and status of this host; reading and changing
+/// the intent; and the order to hold this failure domain on the spot.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBSERVE_OPERATORSERVICE_H
+#define LIBSERVE_OPERATORSERVICE_H
+
+#include <LibHTTP/HttpServer.h>
+#include <LibServe/ServeParts.h>
+
+namespace carobhinge {
+
+class OperatorService {
+public:
+  /// \p Local is null on a host without the control role. \p Stopping is set
+  /// while the process winds down.
+  OperatorService(ServeParts &Parts, ControlHost *Local,
+                  const std::atomic<bool> &Stopping)
+      : Parts(Parts), Local(Local), Stopping(Stopping) {}
+
+  boost::asio::awaitable<void> handle(HttpExchange &Exchange);
+
+private:
+  HttpResponse ready() const;
+  HttpResponse metrics() const;
+  HttpResponse status() const;
+  HttpResponse hold(const HttpRequest &Request);
+  HttpResponse currentIntent() const;
+  boost::asio::awaitable<HttpResponse> history();
+  boost::asio::awaitable<HttpResponse> apply(const HttpRequest &Request);
+
+  ServeParts &Parts;
+  ControlHost *Local;
+  const std::atomic<bool> &Stopping;
+};
+
+} // namespace carobhinge
+
+#endif // LIBSERVE_OPERATORSERVICE_H
--- /dev/null
+++ b/Libraries/LibServe/Peers.h
@@ -0,0 +1,57 @@
+//===- LibServe/Peers.h - The links to all other hosts --------------------===//
+///
+/// \file
+/// One link for each peer in the settings, and what the settings say of it.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBSERVE_PEERS_H
+#define LIBSERVE_PEERS_H
+
+#include <LibSettings/Settings.h>
+#include <LibWire/WireLink.h>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace carobhinge {
+
+class Peers {
+public:
+  Peers(boost::asio::any_io_executor Executor, const Settings &Own);
+
+  /// Null if there is no such peer.
+  [[nodiscard]] WireLink *link(const HostName &Host) const;
+
+  /// Sends a one-way message; dropped if the host is unknown or not connected.
+  void post(const HostName &Host, std::string Method, std::string Message);
+
+  [[nodiscard]] const std::vector<Peer> &all() const { return this->Known; }
+  /// Other entry hosts of this host's failure domain.
+  [[nodiscard]] const std::vector<HostName> &domainEntryHosts() const {
+    return this->DomainEntryHosts;
+  }
+  /// Entry hosts of other failure domains.
+  [[nodiscard]] const std::vector<HostName> &remoteEntryHosts() const {
+    return this->RemoteEntryHosts;
+  }
+  /// All control hosts, this one included if it is one, by name.
+  [[nodiscard]] const std::vector<HostName> &controlHosts() const {
+    return this->ControlHosts;
+  }
+  [[nodiscard]] const Peer *find(const HostName &Host) const;
+
+private:
+  std::vector<Peer> Known;
+  std::vector<HostName> DomainEntryHosts;
+  std::vector<HostName> RemoteEntryHosts;
+  std::vector<HostName> ControlHosts;
+  std::map<HostName, std::unique_ptr<WireLink>> Links;
+};
+
+/// The wire's bounds as the settings give them.
+WireOptions wireOptions(const Settings &Own);
+
+} // namespace carobhinge
+
+#endif // LIBSERVE_PEERS_H
--- /dev/null
+++ b/Libraries/LibServe/ServiceRouter.cpp
@@ -0,0 +1,123 @@
+//===- LibServe/ServiceRouter.cpp - One Router under its lock -------------===//
+///
+/// \file
+/// Locking and delivery.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibServe/ServiceRouter.h>
+
+namespace carobhinge {
+
+/// Effects one request can have waiting: attempts, cancellations and an end.
+static constexpr std::size_t InboxCapacity = 256;
+
+ServiceRouter::ServiceRouter(boost::asio::any_io_executor Executor,
+                             RouterOptions Options)
+    : Executor(std::move(Executor)), Decisions(std::move(Options)) {}
+
+std::shared_ptr<RoutingInbox> ServiceRouter::makeInbox() {
+  return std::make_shared<RoutingInbox>(this->Executor, InboxCapacity);
+}
+
+RequestId ServiceRouter::submit(RoutedRequest Request,
+                                std::shared_ptr<RoutingInbox> Inbox) {
+  std::lock_guard Guard(this->Lock);
+  Request.Id = ++this->LastRequest;
+  this->Inboxes[Request.Id] = std::move(Inbox);
+  this->Decisions.submit(monotonicNow(), Request);
+  this->deliver();
+  return Request.Id;
+}
+
+void ServiceRouter::deliver() {
+  for (RoutingEffect &Effect : this->Decisions.takeEffects()) {
+    RequestId For = 0;
+    if (const auto *Sent = std::get_if<Dispatch>(&Effect)) {
+      For = Sent->Request;
+      this->RequestOf[Sent->Attempt] = For;
+    } else if (const auto *Cancelled = std::get_if<CancelAttempt>(&Effect)) {
+      auto Found = this->RequestOf.find(Cancelled->Attempt);
+      For = Found == this->RequestOf.end() ? 0 : Found->second;
+    } else if (const auto *Refused = std::get_if<Refuse>(&Effect)) {
+      For = Refused->Request;
+    } else {
+      For = std::get<Forward>(Effect).Request;
+    }
+    auto Inbox = this->Inboxes.find(For);
+    if (Inbox != this->Inboxes.end())
+      Inbox->second->try_send(boost::system::error_code(), std::move(Effect));
+  }
+}
+
+void ServiceRouter::firstByte(AttemptId Attempt) {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.firstByte(monotonicNow(), Attempt);
+  this->deliver();
+}
+
+void ServiceRouter::finished(AttemptId Attempt, AttemptOutcome Outcome) {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.finished(monotonicNow(), Attempt, Outcome);
+  this->deliver();
+  this->RequestOf.erase(Attempt);
+}
+
+void ServiceRouter::callerGone(RequestId Request) {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.callerGone(monotonicNow(), Request);
+  this->deliver();
+}
+
+void ServiceRouter::forget(RequestId Request) {
+  std::lock_guard Guard(this->Lock);
+  this->Inboxes.erase(Request);
+}
+
+void ServiceRouter::targetsChanged(std::span<const Target> Targets) {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.targetsChanged(monotonicNow(), Targets);
+  this->deliver();
+}
+
+void ServiceRouter::neighboursChanged(
+    std::span<const DomainSummary> Summaries) {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.neighboursChanged(monotonicNow(), Summaries);
+  this->deliver();
+}
+
+void ServiceRouter::weightsChanged(
+    const std::map<WorkspaceName, double> &Weights) {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.weightsChanged(Weights);
+  this->deliver();
+}
+
+void ServiceRouter::drain() {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.drain(monotonicNow());
+  this->deliver();
+}
+
+void ServiceRouter::tick() {
+  std::lock_guard Guard(this->Lock);
+  TimePoint Now = monotonicNow();
+  std::optional<TimePoint> Due = this->Decisions.nextTimer();
+  if (!Due || *Due > Now)
+    return;
+  this->Decisions.tick(Now);
+  this->deliver();
+}
+
+DomainSummary ServiceRouter::summary() const {
+  std::lock_guard Guard(this->Lock);
+  return this->Decisions.summary();
+}
+
+RouterStatus ServiceRouter::status() const {
+  std::lock_guard Guard(this->Lock);
+  return this->Decisions.status();
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibServe/ServiceRouter.h
@@ -0,0 +1,66 @@
+//===- LibServe/ServiceRouter.h - One Router under its lock ---------------===//
+///
+/// \file
+/// Makes a Router usable from many threads and hands its effects to the
+/// requests they are for.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBSERVE_SERVICEROUTER_H
+#define LIBSERVE_SERVICEROUTER_H
+
+#include <LibRouting/Router.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace carobhinge {
+
+/// Where the effects for one request arrive, in order.
+using RoutingInbox =
+    boost::asio::experimental::concurrent_channel<void(
+        boost::system::error_code, RoutingEffect)>;
+
+/// Thread-safe.
+class ServiceRouter {
+public:
+  ServiceRouter(boost::asio::any_io_executor Executor, RouterOptions Options);
+
+  /// Submits \p Request under a fresh id, which is returned, and delivers the
+  /// effects for it to \p Inbox.
+  RequestId submit(RoutedRequest Request, std::shared_ptr<RoutingInbox> Inbox);
+  std::shared_ptr<RoutingInbox> makeInbox();
+
+  void firstByte(AttemptId Attempt);
+  void finished(AttemptId Attempt, AttemptOutcome Outcome);
+  void callerGone(RequestId Request);
+  /// The request needs no further effects.
+  void forget(RequestId Request);
+
+  void targetsChanged(std::span<const Target> Targets);
+  void neighboursChanged(std::span<const DomainSummary> Summaries);
+  void weightsChanged(const std::map<WorkspaceName, double> &Weights);
+  void drain();
+  /// Calls the Router's timer if it is due.
+  void tick();
+
+  [[nodiscard]] DomainSummary summary() const;
+  [[nodiscard]] RouterStatus status() const;
+
+private:
+  /// Delivers pending effects. Called with the lock held.
+  void deliver();
+
+  boost::asio::any_io_executor Executor;
+  mutable std::mutex Lock;
+  Router Decisions;
+  RequestId LastRequest = 0;
+  std::unordered_map<RequestId, std::shared_ptr<RoutingInbox>> Inboxes;
+  std::unordered_map<AttemptId, RequestId> RequestOf;
+};
+
+} // namespace carobhinge
+
+#endif // LIBSERVE_SERVICEROUTER_H
--- /dev/null
+++ b/Meta/CMake/LibServe.cmake
@@ -0,0 +1,20 @@
+carobhinge_library(
+  LibServe
+  LibCore
+  LibSettings
+  LibIntent
+  LibConsensus
+  LibLedger
+  LibFleet
+  LibRouting
+  LibWire
+  LibHTTP
+  LibTelemetry
+  protobuf)
+add_executable(
+  carobhinge
+  ${CMAKE_SOURCE_DIR}/Carobhinge/main.cpp
+  ${CMAKE_SOURCE_DIR}/Carobhinge/ServeCommand.cpp
+  ${CMAKE_SOURCE_DIR}/Carobhinge/StandInCommand.cpp
+  ${CMAKE_SOURCE_DIR}/Carobhinge/OperatorCommands.cpp)
+target_link_libraries(carobhinge PRIVATE LibServe LibStandIn)
