LibStore, LibConsensus: Replicate a log over files of our own

The first usable version: LogStore and DataFolder, the replica as a decision class, its runner, the threaded driver, and the cluster of replicas with fakes of disks, links and clocks for tests.

A voter is a host with one life of its disk. The log comes into being once, by the consent of all first hosts, so that an empty disk never votes; guessing whether an empty folder is new or was lost was ruled out, since no guess is safe when the hosts that know are away.

--- /dev/null
+++ b/Libraries/LibConsensus/Members.cpp
@@ -0,0 +1,73 @@
+//===- LibConsensus/Members.cpp - Voters and what they have claimed -------===//
+
+#include <LibConsensus/Members.h>
+#include <algorithm>
+
+namespace carobhinge {
+
+std::string_view voterDisk(const message::Configuration &Configuration,
+                           std::string_view Host) {
+  for (const message::Member &Voter : Configuration.voters())
+    if (Voter.host() == Host)
+      return Voter.disk();
+  return {};
+}
+
+bool isVoter(const message::Configuration &Configuration, std::string_view Host,
+             std::string_view Disk) {
+  return !Disk.empty() && voterDisk(Configuration, Host) == Disk;
+}
+
+bool hasHost(const message::Configuration &Configuration,
+             std::string_view Host) {
+  const auto &Hosts = Configuration.hosts();
+  return std::find(Hosts.begin(), Hosts.end(), Host) != Hosts.end();
+}
+
+std::size_t quorum(const message::Configuration &Configuration) {
+  return static_cast<std::size_t>(Configuration.voters_size()) / 2 + 1;
+}
+
+void addVoter(message::Configuration &Configuration, std::string_view Host,
+              std::string_view Disk) {
+  message::Member *Voter = Configuration.add_voters();
+  Voter->set_host(std::string(Host));
+  Voter->set_disk(std::string(Disk));
+}
+
+void removeVoter(message::Configuration &Configuration, std::string_view Host) {
+  auto *Voters = Configuration.mutable_voters();
+  auto Kept = std::remove_if(
+      Voters->begin(), Voters->end(),
+      [&](const message::Member &Voter) { return Voter.host() == Host; });
+  Voters->erase(Kept, Voters->end());
+}
+
+bool equal(const message::Configuration &Left,
+           const message::Configuration &Right) {
+  auto same = [](const message::Member &One, const message::Member &Other) {
+    return One.host() == Other.host() && One.disk() == Other.disk();
+  };
+  return std::equal(Left.voters().begin(), Left.voters().end(),
+                    Right.voters().begin(), Right.voters().end(), same) &&
+         std::equal(Left.hosts().begin(), Left.hosts().end(),
+                    Right.hosts().begin(), Right.hosts().end());
+}
+
+void Claims::raise(std::string_view Host, std::string_view Disk,
+                   const Claim &New) {
+  Claim &Known = this->ByMember[{std::string(Host), std::string(Disk)}];
+  Known.Term = std::max(Known.Term, New.Term);
+  if (std::pair(New.LastTerm, New.LastIndex) >
+      std::pair(Known.LastTerm, Known.LastIndex)) {
+    Known.LastTerm = New.LastTerm;
+    Known.LastIndex = New.LastIndex;
+  }
+}
+
+Claim Claims::of(std::string_view Host, std::string_view Disk) const {
+  auto Found = this->ByMember.find({std::string(Host), std::string(Disk)});
+  return Found == this->ByMember.end() ? Claim{} : Found->second;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibConsensus/Members.h
@@ -0,0 +1,71 @@
+//===- LibConsensus/Members.h - Voters and what they have claimed ---------===//
+///
+/// \file
+/// Small questions about configurations, and the memory of the highest state
+/// that each member is known to have claimed. A member whose disk holds less
+/// than it once claimed has lost part of what others rely on.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBCONSENSUS_MEMBERS_H
+#define LIBCONSENSUS_MEMBERS_H
+
+#include <LibConsensus/Consensus.pb.h>
+#include <LibCore/Names.h>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace carobhinge {
+
+/// The disk identity of the voter on \p Host; empty if there is none.
+std::string_view voterDisk(const message::Configuration &Configuration,
+                           std::string_view Host);
+
+bool isVoter(const message::Configuration &Configuration, std::string_view Host,
+             std::string_view Disk);
+
+bool hasHost(const message::Configuration &Configuration,
+             std::string_view Host);
+
+/// How many voters make a majority.
+std::size_t quorum(const message::Configuration &Configuration);
+
+void addVoter(message::Configuration &Configuration, std::string_view Host,
+              std::string_view Disk);
+
+void removeVoter(message::Configuration &Configuration, std::string_view Host);
+
+/// Same voters and hosts, in the same order.
+bool equal(const message::Configuration &Left,
+           const message::Configuration &Right);
+
+/// What a member claimed: its term, and its log by the order of elections.
+struct Claim {
+  std::uint64_t Term = 0;
+  std::uint64_t LastTerm = 0;
+  std::uint64_t LastIndex = 0;
+
+  /// Whether a disk that holds \p Held has lost something that was claimed.
+  [[nodiscard]] bool exceeds(const Claim &Held) const {
+    return this->Term > Held.Term ||
+           std::pair(this->LastTerm, this->LastIndex) >
+               std::pair(Held.LastTerm, Held.LastIndex);
+  }
+};
+
+class Claims {
+public:
+  /// Remembers the higher of what is known and \p New.
+  void raise(std::string_view Host, std::string_view Disk, const Claim &New);
+  [[nodiscard]] Claim of(std::string_view Host, std::string_view Disk) const;
+
+private:
+  std::map<std::pair<std::string, std::string>, Claim> ByMember;
+};
+
+} // namespace carobhinge
+
+#endif // LIBCONSENSUS_MEMBERS_H
--- /dev/null
+++ b/Libraries/LibConsensus/MemoryLog.cpp
@@ -0,0 +1,78 @@
+//===- LibConsensus/MemoryLog.cpp - The entries that a replica holds ------===//
+
+#include <LibConsensus/MemoryLog.h>
+#include <cassert>
+#include <iterator>
+#include <utility>
+
+namespace carobhinge {
+
+void MemoryLog::setFirst(const message::Configuration &Configuration) {
+  assert(this->lastIndex() == 0);
+  this->Configurations = {{0, Configuration}};
+}
+
+void MemoryLog::reset(const message::StoredSnapshot &Snapshot) {
+  this->Entries.clear();
+  this->Base = Snapshot.index();
+  this->BaseTerm = Snapshot.term();
+  this->BaseStamp = Snapshot.stamp_ms();
+  this->Configurations = {{Snapshot.index(), Snapshot.configuration()}};
+}
+
+void MemoryLog::put(message::Entry Entry) {
+  std::uint64_t Index = Entry.index();
+  assert(Index > this->Base && Index <= this->lastIndex() + 1);
+  this->Entries.resize(Index - this->Base - 1);
+  this->Configurations.erase(this->Configurations.lower_bound(Index),
+                             this->Configurations.end());
+  if (Entry.has_configuration())
+    this->Configurations[Index] = Entry.configuration();
+  this->Entries.push_back(std::move(Entry));
+}
+
+void MemoryLog::forget(std::uint64_t Index) {
+  if (Index <= this->Base)
+    return;
+  assert(Index <= this->lastIndex());
+  const message::Entry &Last = this->entry(Index);
+  this->BaseTerm = Last.term();
+  this->BaseStamp = Last.stamp_ms();
+  auto Count = static_cast<std::ptrdiff_t>(Index - this->Base);
+  this->Entries.erase(this->Entries.begin(), this->Entries.begin() + Count);
+  this->Base = Index;
+  auto Above = this->Configurations.upper_bound(Index);
+  this->Configurations.erase(this->Configurations.begin(), std::prev(Above));
+}
+
+std::int64_t MemoryLog::lastStamp() const {
+  return this->Entries.empty() ? this->BaseStamp
+                               : this->Entries.back().stamp_ms();
+}
+
+std::uint64_t MemoryLog::term(std::uint64_t Index) const {
+  assert(this->knows(Index));
+  return Index == this->Base ? this->BaseTerm : this->entry(Index).term();
+}
+
+const message::Entry &MemoryLog::entry(std::uint64_t Index) const {
+  assert(Index > this->Base && Index <= this->lastIndex());
+  return this->Entries[Index - this->Base - 1];
+}
+
+const message::Configuration &MemoryLog::configuration() const {
+  return this->Configurations.rbegin()->second;
+}
+
+std::uint64_t MemoryLog::configurationIndex() const {
+  return this->Configurations.rbegin()->first;
+}
+
+const message::Configuration &
+MemoryLog::configurationAt(std::uint64_t Index) const {
+  auto Above = this->Configurations.upper_bound(Index);
+  assert(Above != this->Configurations.begin());
+  return std::prev(Above)->second;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Meta/CMake/LibConsensus.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibConsensus LibStore LibCore protobuf)
+carobhinge_test(LibConsensus LibConsensus)
--- /dev/null
+++ b/Meta/CMake/LibStore.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibStore LibCore)
+carobhinge_test(LibStore LibStore)
--- /dev/null
+++ b/Tests/LibConsensus/TestLogDriver.cpp
@@ -0,0 +1,118 @@
+//===- LibConsensus/TestLogDriver.cpp - Tests of the threaded driver ------===//
+///
+/// \file
+/// Three drivers in one process, with real threads and files. The tests wait
+/// for events, however long they take; what they expect never depends on time.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibConsensus/LogDriver.h>
+#include <LibConsensus/ReplicaCluster.h>
+#include <cstdlib>
+#include <future>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <mutex>
+#include <thread>
+
+namespace carobhinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+class LogDriverTest : public testing::Test {
+protected:
+  void SetUp() override {
+    std::string Template = testing::TempDir() + "carobhinge-XXXXXX";
+    ASSERT_NE(mkdtemp(Template.data()), nullptr);
+    this->Folder = Template;
+  }
+
+  void TearDown() override {
+    for (const HostName &Host : this->Names)
+      this->stop(Host);
+    std::filesystem::remove_all(this->Folder);
+  }
+
+  void start(const HostName &Host, Disk *Files = nullptr) {
+    LogDriverOptions Options{
+        .Self = Host,
+        .Voters = this->Names,
+        .Folder = this->Folder / Host,
+        .Timings = {.Heartbeat = 20ms,
+                    .ElectionLeast = 200ms,
+                    .ElectionMost = 400ms},
+        .Send =
+            [this, Host](const HostName &To, const auto &Message) {
+              std::lock_guard Guard(this->Lock);
+              if (this->Drivers[To])
+                this->Drivers[To]->receive(Host, Message);
+            },
+        .Machine = &this->Machines[Host],
+        .Files = Files};
+    auto Driver = std::make_unique<LogDriver>(std::move(Options));
+    std::lock_guard Guard(this->Lock);
+    this->Drivers[Host] = std::move(Driver);
+  }
+
+  void stop(const HostName &Host) {
+    std::unique_ptr<LogDriver> Driver;
+    {
+      std::lock_guard Guard(this->Lock);
+      Driver = std::move(this->Drivers[Host]);
+    }
+    Driver.reset();
+  }
+
+  ProposalResult propose(const HostName &Host, const std::string &Command) {
+    auto Done = std::make_shared<std::promise<ProposalResult>>();
+    this->Drivers[Host]->propose(
+        Command, [Done](auto Result) { Done->set_value(std::move(Result)); });
+    return Done->get_future().get();
+  }
+
+  /// Proposes at each host in turn until one commits. \returns that host.
+  HostName commitSomewhere(const std::string &Command) {
+    while (true) {
+      for (const HostName &Host : this->Names)
+        if (this->Drivers[Host] &&
+            this->propose(Host, Command).Status == ProposalStatus::Committed)
+          return Host;
+      std::this_thread::sleep_for(5ms);
+    }
+  }
+
+  std::vector<HostName> Names = {"a", "b", "c"};
+  std::filesystem::path Folder;
+  std::map<HostName, ListMachine> Machines;
+  std::mutex Lock;
+  std::map<HostName, std::unique_ptr<LogDriver>> Drivers;
+};
+
+TEST_F(LogDriverTest, CommitsReadsAndSurvivesALeader) {
+  for (const HostName &Host : this->Names)
+    this->start(Host);
+  HostName Leader = this->commitSomewhere("one");
+  std::promise<std::vector<std::string>> Seen;
+  this->Drivers[Leader]->read([&](ReadResult Result) {
+    ASSERT_EQ(Result.Status, ProposalStatus::Committed);
+    Seen.set_value(dynamic_cast<const ListMachine *>(Result.Machine)->Commands);
+  });
+  EXPECT_THAT(Seen.get_future().get(), testing::Contains("one"));
+  this->stop(Leader);
+  HostName Next = this->commitSomewhere("two");
+  EXPECT_NE(Next, Leader);
+  this->Machines[Leader].Commands.clear();
+  this->start(Leader);
+  while (this->propose(Leader, "three").Status != ProposalStatus::Committed) {
+    for (const HostName &Host : this->Names)
+      if (Host != Leader)
+        this->Drivers[Host]->transferLeadership();
+    std::this_thread::sleep_for(50ms);
+  }
+  this->stop(Leader);
+  EXPECT_THAT(this->Machines[Leader].Commands, testing::Contains("two"));
+}
+
+} // namespace
+} // namespace carobhinge
