LibFleet: Grant planners and plan under a confirmed grant

The planner grant of a failure domain is a compare-and-set record of the control log, moved by PlannerWatch. It also lists the orders that may be under way to engines without fencing, so that a new holder keeps to the stricter path of the old one.

A holder that was cut off from the control log and from some entry host of its domain stops planning: another host may hold a newer grant.

Tests/FleetCluster puts small fakes around the decision classes: engines, links and a control log, with invariants checked at every tick.

Forming is the only behaviour of the planner with a test yet.

--- a/Libraries/LibFleet/DrainWatch.cpp
+++ b/Libraries/LibFleet/DrainWatch.cpp
@@ -7,7 +7,7 @@
 
 #include <LibFleet/DrainWatch.h>
 
-#include <tuple>
+#include <algorithm>
 
 namespace carobhinge {
 
@@ -15,23 +15,37 @@
   this->Reports[Report.EntryHost] = {.Report = Report, .At = Now};
 }
 
+const OutstandingReport *DrainWatch::find(TimePoint Now,
+                                          const HostName &Host) const {
+  auto Found = this->Reports.find(Host);
+  bool Silent = Found == this->Reports.end() ||
+                Now - Found->second.At >= this->SilentAfter;
+  return Silent ? nullptr : &Found->second.Report;
+}
+
 DrainWatch::Verdict DrainWatch::verdict(TimePoint Now, const GroupName &Group,
                                         std::uint64_t Epoch,
                                         std::uint64_t Sequence) const {
   bool AnySilent = false;
   for (const HostName &Host : this->EntryHosts) {
-    auto Found = this->Reports.find(Host);
-    if (Found == this->Reports.end() ||
-        Now - Found->second.At >= this->SilentAfter) {
+    const OutstandingReport *Report = this->find(Now, Host);
+    if (!Report) {
       AnySilent = true;
       continue;
     }
-    const OutstandingReport &Report = Found->second.Report;
-    if (std::tie(Report.Epoch, Report.Sequence) < std::tie(Epoch, Sequence) ||
-        Report.Count.contains(Group))
+    if (Report->Epoch != Epoch || Report->Sequence < Sequence ||
+        Report->Count.contains(Group))
       return Verdict::Busy;
   }
   return AnySilent ? Verdict::SilentOnly : Verdict::Drained;
 }
 
+bool DrainWatch::allFollow(TimePoint Now, std::uint64_t Epoch) const {
+  return std::ranges::all_of(
+      this->EntryHosts, [this, Now, Epoch](const HostName &Host) {
+        const OutstandingReport *Report = this->find(Now, Host);
+        return Report && Report->KnownEpoch <= Epoch;
+      });
+}
+
 } // namespace carobhinge
--- a/Libraries/LibFleet/DrainWatch.h
+++ b/Libraries/LibFleet/DrainWatch.h
@@ -5,7 +5,8 @@
 /// newest roster they know. A group is drained when every entry host of the
 /// failure domain knows the roster in which it drains and has nothing
 /// outstanding there: what reports nothing under an older roster may send
-/// something the next moment.
+/// something the next moment. The same holds under a roster of a newer planner,
+/// which may list the group as serving.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -25,6 +26,8 @@
   /// Of the newest roster that the entry host knows.
   std::uint64_t Epoch = 0;
   std::uint64_t Sequence = 0;
+  /// The newest epoch that the entry host knows of, its own grant included.
+  std::uint64_t KnownEpoch = 0;
   /// By group. Groups without outstanding requests are left out.
   std::map<GroupName, std::uint32_t> Count = {};
 
@@ -54,12 +57,19 @@
                                 std::uint64_t Epoch,
                                 std::uint64_t Sequence) const;
 
+  /// True if every entry host is heard and none knows a newer planner.
+  [[nodiscard]] bool allFollow(TimePoint Now, std::uint64_t Epoch) const;
+
 private:
   struct Heard {
     OutstandingReport Report;
     TimePoint At;
   };
 
+  /// Null if the entry host is silent.
+  [[nodiscard]] const OutstandingReport *find(TimePoint Now,
+                                              const HostName &Host) const;
+
   std::vector<HostName> EntryHosts;
   Duration SilentAfter;
   std::map<HostName, Heard> Reports;
--- a/Libraries/LibFleet/EndpointDirectory.h
+++ b/Libraries/LibFleet/EndpointDirectory.h
@@ -23,14 +23,14 @@
 namespace carobhinge {
 
 struct DirectoryOptions {
-  HostName Self;
-  FailureDomainName FailureDomain;
+  HostName Self = {};
+  FailureDomainName FailureDomain = {};
   /// All entry hosts of the failure domain, this one included.
-  std::vector<HostName> EntryHosts;
+  std::vector<HostName> EntryHosts = {};
   /// How long entry hosts may differ about that list.
   Duration EntryHostsOverlap = std::chrono::seconds(15);
-  WarmUpCurve Curve;
-  PeerComparisonOptions Comparison;
+  WarmUpCurve Curve = {};
+  PeerComparisonOptions Comparison = {};
   /// Silent endpoints are forgotten after this long.
   Duration ForgetAfter = std::chrono::minutes(10);
 };
--- a/Libraries/LibFleet/FleetMessages.cpp
+++ b/Libraries/LibFleet/FleetMessages.cpp
@@ -70,6 +70,7 @@
   Result.set_entry_host(From.EntryHost);
   Result.set_epoch(From.Epoch);
   Result.set_sequence(From.Sequence);
+  Result.set_known_epoch(From.KnownEpoch);
   for (const auto &[Group, Count] : From.Count) {
     message::OutstandingWork::Item &Item = *Result.add_items();
     Item.set_group(Group);
@@ -81,7 +82,8 @@
 OutstandingReport fromMessage(const message::OutstandingWork &From) {
   OutstandingReport Result = {.EntryHost = From.entry_host(),
                               .Epoch = From.epoch(),
-                              .Sequence = From.sequence()};
+                              .Sequence = From.sequence(),
+                              .KnownEpoch = From.known_epoch()};
   for (const message::OutstandingWork::Item &Item : From.items())
     Result.Count[Item.group()] = Item.count();
   return Result;
--- a/Libraries/LibFleet/GroupPlanner.cpp
+++ b/Libraries/LibFleet/GroupPlanner.cpp
@@ -35,9 +35,12 @@
 }
 
 void GroupPlanner::rosterSeen(const Roster &Seen) {
-  if (Seen.FailureDomain == this->Options.FailureDomain &&
-      isNewer(Seen, this->Published))
-    this->Published = Seen;
+  if (Seen.FailureDomain != this->Options.FailureDomain ||
+      !isNewer(Seen, this->Published))
+    return;
+  this->Published = Seen;
+  if (Seen.Epoch > this->Epoch)
+    this->revoked();
 }
 
 void GroupPlanner::outstanding(TimePoint Now, const OutstandingReport &Report) {
@@ -51,6 +54,7 @@
   this->Epoch = Epoch;
   this->Counter = 0;
   this->GrantedAt = Now;
+  this->ConfirmedAt = Now;
   this->Adopted = false;
   this->Orders.reset(Now, Recorded);
   for (const auto &[Name, Entry] : this->Census.all())
@@ -69,9 +73,16 @@
   return fencingNumber(this->Epoch, ++this->Counter);
 }
 
+bool GroupPlanner::mayAct(TimePoint Now) const {
+  if (this->Epoch == 0 || Now - this->GrantedAt < this->Options.SettleTime)
+    return false;
+  return Now - this->ConfirmedAt < this->Options.ConfirmationLasts ||
+         this->Drains.allFollow(Now, this->Epoch);
+}
+
 std::vector<PlannerEffect> GroupPlanner::plan(TimePoint Now) {
   this->Census.forget(Now, this->Options.ForgetAfter);
-  if (this->Epoch == 0 || Now - this->GrantedAt < this->Options.SettleTime)
+  if (!this->mayAct(Now))
     return {};
   if (!this->Adopted)
     this->adopt(Now);
--- a/Libraries/LibFleet/GroupPlanner.h
+++ b/Libraries/LibFleet/GroupPlanner.h
@@ -23,9 +23,9 @@
 namespace carobhinge {
 
 struct PlannerOptions {
-  FailureDomainName FailureDomain;
+  FailureDomainName FailureDomain = {};
   /// All entry hosts of the failure domain.
-  std::vector<HostName> EntryHosts;
+  std::vector<HostName> EntryHosts = {};
   std::string Formation = "loaded-rank";
   std::string Repair = "spare-first";
   /// How long after the end of its lifetime a silent member counts as paused.
@@ -38,6 +38,8 @@
   Duration OrderTimeout = std::chrono::seconds(5);
   /// How long a new grant holder listens before it decides anything.
   Duration SettleTime = std::chrono::seconds(4);
+  /// How long the control log's confirmation of the grant lasts.
+  Duration ConfirmationLasts = std::chrono::seconds(5);
   /// When an entry host without reports counts as silent.
   Duration EntryHostSilentAfter = std::chrono::seconds(10);
   /// How long a drain waits for silent entry hosts: the longest request.
@@ -61,6 +63,8 @@
 /// often that must be tried, and then call orderRecorded().
 struct RecordOrder {
   RecordedOrder Record;
+  /// Earlier records that the same command takes out.
+  std::vector<RecordedOrder> Settled = {};
 };
 
 /// Send the roster to the entry hosts of the failure domain, this one included.
@@ -75,7 +79,10 @@
 /// Invariants: an endpoint has a place in at most one group of a roster. An
 /// endpoint that announces a group is ordered to join another one only after
 /// it announced that it is in none. A serving group without lost members is
-/// changed only after it was drained.
+/// changed only after it was drained. The planner acts only while it knows that
+/// no other host of the failure domain can hold a newer grant: the control log
+/// confirmed its own a moment ago, or every other entry host of the domain is
+/// heard and follows it. The latter lets it go on in a domain that is cut off.
 class GroupPlanner {
 public:
   explicit GroupPlanner(PlannerOptions Options);
@@ -91,6 +98,8 @@
   /// the control log lists for the failure domain.
   void granted(TimePoint Now, std::uint64_t Epoch,
                std::span<const RecordedOrder> Recorded);
+  /// The control log was asked and still names this host and epoch.
+  void confirmed(TimePoint Now) { this->ConfirmedAt = Now; }
   /// The grant went elsewhere.
   void revoked() { this->Epoch = 0; }
   void orderRecorded(TimePoint Now, FencingNumber Number);
@@ -165,6 +174,8 @@
     std::uint32_t LoadsOfGroup = 0;
   };
 
+  [[nodiscard]] bool mayAct(TimePoint Now) const;
+
   // GroupPlannerState.cpp: what became of the groups.
   void adopt(TimePoint Now);
   void adoptRoster(TimePoint Now);
@@ -219,6 +230,7 @@
   std::uint64_t Epoch = 0;
   std::uint32_t Counter = 0;
   TimePoint GrantedAt;
+  TimePoint ConfirmedAt;
   bool Adopted = false;
   std::map<GroupName, Group> Groups;
   /// Rebuilt by place(); missing members have none.
--- a/Libraries/LibFleet/OrderBook.cpp
+++ b/Libraries/LibFleet/OrderBook.cpp
@@ -8,11 +8,13 @@
 #include <LibFleet/OrderBook.h>
 
 #include <cassert>
+#include <utility>
 
 namespace carobhinge {
 
 void OrderBook::reset(TimePoint Now, std::span<const RecordedOrder> Recorded) {
   this->Entries.clear();
+  this->Settled.clear();
   for (const RecordedOrder &Each : Recorded) {
     Entry Earlier;
     Earlier.Sent.Number = Each.Number;
@@ -76,9 +78,18 @@
   if (Found == this->Entries.end())
     return;
   const Order &Sent = Found->second.Sent;
-  if (Said.Life > Sent.ForLife ||
-      (Said.Life == Sent.ForLife && Said.LastOrder >= Sent.Number))
-    this->Entries.erase(Found);
+  bool Applied = Said.Life == Sent.ForLife && Said.LastOrder >= Sent.Number;
+  if (Said.Life <= Sent.ForLife && !Applied)
+    return;
+  if (Found->second.Strict)
+    this->Settled.push_back({.Endpoint = Said.Endpoint,
+                             .Life = Sent.ForLife,
+                             .Number = Sent.Number});
+  this->Entries.erase(Found);
+}
+
+std::vector<RecordedOrder> OrderBook::takeSettled() {
+  return std::exchange(this->Settled, {});
 }
 
 std::vector<std::pair<EndpointName, Order>>
--- a/Libraries/LibFleet/OrderBook.h
+++ b/Libraries/LibFleet/OrderBook.h
@@ -74,6 +74,9 @@
   /// Takes what can be sent now; each order is returned once.
   std::vector<std::pair<EndpointName, Order>> takeSendable(TimePoint Now);
 
+  /// Recorded orders that can no longer arrive, each returned once.
+  std::vector<RecordedOrder> takeSettled();
+
   [[nodiscard]] const std::map<EndpointName, Entry> &entries() const {
     return this->Entries;
   }
@@ -83,6 +86,7 @@
 
   Duration Timeout;
   std::map<EndpointName, Entry> Entries;
+  std::vector<RecordedOrder> Settled;
 };
 
 } // namespace carobhinge
--- a/Meta/CMake/LibFleet.cmake
+++ b/Meta/CMake/LibFleet.cmake
@@ -1,2 +1,10 @@
 carobhinge_library(LibFleet LibCore protobuf)
-carobhinge_test(LibFleet LibFleet)
+
+# The decision classes of one failure domain with small fakes around them.
+file(GLOB FLEET_CLUSTER_SOURCES CONFIGURE_DEPENDS
+     ${CMAKE_SOURCE_DIR}/Tests/FleetCluster/*.cpp)
+add_library(FleetCluster STATIC ${FLEET_CLUSTER_SOURCES})
+target_include_directories(FleetCluster PUBLIC ${CMAKE_SOURCE_DIR}/Tests)
+target_link_libraries(FleetCluster PUBLIC LibFleet)
+
+carobhinge_test(LibFleet FleetCluster LibFleet)
--- /dev/null
+++ b/Tests/FleetCluster/FleetCluster.cpp
@@ -0,0 +1,349 @@
+//===- Tests/FleetCluster/FleetCluster.cpp - One failure domain, by hand --===//
+///
+/// \file
+/// The clock, the links, the entry hosts and the control log.
+///
+//===----------------------------------------------------------------------===//
+
+#include "FleetCluster.h"
+
+#include <stdexcept>
+
+namespace carobhinge {
+
+using Milliseconds = std::chrono::milliseconds;
+
+static constexpr Duration Tick = Milliseconds(50);
+static constexpr std::uint64_t TicksPerSecond = 20;
+static constexpr Duration LinkDelay = Milliseconds(2);
+static const FailureDomainName Domain = "tanta-a";
+static const std::string Control = "control";
+
+FleetCluster::FleetCluster(FleetClusterOptions Options)
+    : Options(std::move(Options)), Random(this->Options.Seed),
+      Watch(TimePoint(), {}) {
+  this->Intent.Services["sheets"] = {
+      .HostsPerGroup = this->Options.HostsPerGroup, .Version = "v1"};
+  for (std::uint32_t I = 1; I <= this->Options.EntryHosts; ++I) {
+    HostName Name = "entry-" + std::to_string(I);
+    this->Options.Planner.EntryHosts.push_back(Name);
+    this->EntryHosts[Name].Name = Name;
+  }
+  this->Options.Planner.FailureDomain = Domain;
+  for (auto &[Name, Host] : this->EntryHosts)
+    this->startEntryHost(Host);
+  for (std::uint32_t Fabric = 1; Fabric <= this->Options.FabricDomains;
+       ++Fabric) {
+    for (std::uint32_t I = 1; I <= this->Options.EnginesPerFabric; ++I) {
+      Announcement First;
+      First.Endpoint =
+          "engine-" + std::to_string(Fabric) + "-" + std::to_string(I);
+      First.Host = "host-of-" + First.Endpoint;
+      First.FailureDomain = Domain;
+      First.FabricDomain = "fabric-" + std::to_string(Fabric);
+      First.Service = "sheets";
+      First.Address = First.Endpoint;
+      First.Accelerators = 8;
+      First.Life = 1;
+      First.ChecksFencing = this->Options.ChecksFencing;
+      First.BatchLimit = 16;
+      this->Engines.emplace(First.Endpoint,
+                            FakeEngine(First, this->Options.Times));
+    }
+  }
+}
+
+void FleetCluster::startEntryHost(EntryHost &Host) {
+  DirectoryOptions Directory;
+  Directory.Self = Host.Name;
+  Directory.FailureDomain = Domain;
+  Directory.EntryHosts = this->Options.Planner.EntryHosts;
+  Host.Directory = std::make_unique<EndpointDirectory>(Directory);
+  Host.Planner = std::make_unique<GroupPlanner>(this->Options.Planner);
+  Host.Directory->intentChanged(this->Intent);
+  Host.Planner->intentChanged(this->Intent);
+  Host.Granted = 0;
+  Host.Alive = true;
+  Host.Frozen = false;
+}
+
+FakeEngine &FleetCluster::engine(const EndpointName &Name) {
+  return this->Engines.at(Name);
+}
+
+FleetCluster::EntryHost &FleetCluster::entryHost(const HostName &Name) {
+  return this->EntryHosts.at(Name);
+}
+
+HostName FleetCluster::holder() const {
+  const PlannerGrant *Grant = this->Grants.find(Domain);
+  return Grant ? Grant->Host : HostName();
+}
+
+bool FleetCluster::chance(std::uint32_t PerMille) {
+  return this->Random() % 1000 < PerMille;
+}
+
+void FleetCluster::run(Duration Passed) {
+  for (Duration Done = Duration::zero(); Done < Passed; Done += Tick)
+    this->tick();
+}
+
+bool FleetCluster::runUntil(const std::function<bool()> &Holds,
+                            Duration Limit) {
+  for (Duration Done = Duration::zero(); Done < Limit; Done += Tick) {
+    if (Holds())
+      return true;
+    this->tick();
+  }
+  return Holds();
+}
+
+void FleetCluster::send(std::string From, std::string To, MessageKind Kind,
+                        std::function<void()> Deliver) {
+  Envelope What = {.At = this->Now + LinkDelay,
+                   .From = std::move(From),
+                   .To = std::move(To),
+                   .Kind = Kind,
+                   .Deliver = std::move(Deliver)};
+  MessageFate Fate;
+  if (this->OnSend)
+    this->OnSend(What, Fate);
+  if (Fate.Lost)
+    return;
+  if (Fate.Doubled)
+    this->post(What);
+  What.At += Fate.Late;
+  this->post(std::move(What));
+}
+
+void FleetCluster::post(Envelope What) {
+  TimePoint At = What.At;
+  this->Links.emplace(At, std::move(What));
+}
+
+bool FleetCluster::isReachable(const Envelope &What) const {
+  if (this->Cuts.contains({What.From, What.To}))
+    return false;
+  auto Engine = this->Engines.find(What.To);
+  if (Engine != this->Engines.end())
+    return Engine->second.Alive;
+  auto Host = this->EntryHosts.find(What.To);
+  return Host == this->EntryHosts.end() || Host->second.Alive;
+}
+
+bool FleetCluster::isStopped(const std::string &Node) const {
+  auto Engine = this->Engines.find(Node);
+  if (Engine != this->Engines.end())
+    return Engine->second.Paused;
+  auto Host = this->EntryHosts.find(Node);
+  return Host != this->EntryHosts.end() && Host->second.Frozen;
+}
+
+void FleetCluster::deliverDue() {
+  while (!this->Links.empty() && this->Links.begin()->first <= this->Now) {
+    Envelope Due = std::move(this->Links.extract(this->Links.begin()).mapped());
+    if (!this->isReachable(Due))
+      continue;
+    if (this->isStopped(Due.To))
+      this->Waiting[Due.To].push_back(std::move(Due));
+    else
+      Due.Deliver();
+  }
+  for (auto &[Node, Queue] : this->Waiting) {
+    while (!Queue.empty() && !this->isStopped(Node)) {
+      Envelope Next = std::move(Queue.front());
+      Queue.pop_front();
+      if (this->isReachable(Next))
+        Next.Deliver();
+    }
+  }
+}
+
+void FleetCluster::tick() {
+  this->Now += Tick;
+  ++this->Ticks;
+  this->deliverDue();
+  std::uint64_t Phase = 0;
+  for (auto &[Name, Engine] : this->Engines) {
+    ++Phase;
+    if (!Engine.isRunning())
+      continue;
+    for (const EngineRequest &Ended : Engine.advance(this->Now))
+      this->endRequest(Ended, Engine.Said.Place.Group);
+    if ((this->Ticks + Phase) % TicksPerSecond == 0)
+      this->announceFrom(Engine);
+  }
+  for (auto &[Name, Host] : this->EntryHosts) {
+    ++Phase;
+    if (!Host.Alive || Host.Frozen)
+      continue;
+    this->startRequests(Host);
+    if ((this->Ticks + Phase) % TicksPerSecond == 0)
+      this->second(Host);
+  }
+  if (this->Ticks % TicksPerSecond == 0)
+    for (const auto &Command : this->Watch.tick(this->Now, this->Grants))
+      this->Grants.apply(Command);
+  if (this->Options.CheckInvariants)
+    this->check();
+}
+
+/// What an entry host does once a second.
+void FleetCluster::second(EntryHost &Host) {
+  Host.Directory->tick(this->Now);
+  this->pingControl(Host);
+  OutstandingReport Report = {.EntryHost = Host.Name,
+                              .Epoch = Host.Directory->roster().Epoch,
+                              .Sequence = Host.Directory->roster().Sequence};
+  Report.KnownEpoch = std::max(Report.Epoch, Host.Granted);
+  for (const auto &[Group, Requests] : Host.Outstanding)
+    if (!Requests.empty())
+      Report.Count[Group] = Requests.size();
+  for (const auto &[Name, Other] : this->EntryHosts)
+    this->send(Host.Name, Name, MessageKind::Outstanding,
+               [this, Name = Name, Report] {
+                 EntryHost &At = this->entryHost(Name);
+                 At.Planner->outstanding(this->Now, Report);
+                 // A report is a digest too: the newer roster is sent back.
+                 const Roster &Known = At.Directory->roster();
+                 if (isNewer(Known, {.FailureDomain = Domain,
+                                     .Epoch = Report.Epoch,
+                                     .Sequence = Report.Sequence}))
+                   this->publish(Name, Known);
+               });
+  this->proposeRecords(Host);
+  this->plan(Host);
+}
+
+void FleetCluster::plan(EntryHost &Host) {
+  for (PlannerEffect &Effect : Host.Planner->plan(this->Now))
+    this->carryOut(Host, Effect);
+}
+
+void FleetCluster::carryOut(EntryHost &Host, PlannerEffect &Effect) {
+  if (auto *Order = std::get_if<SendOrder>(&Effect))
+    this->sendOrder(Host.Name, *Order);
+  if (auto *Roster = std::get_if<PublishRoster>(&Effect)) {
+    this->checkRoster(Roster->Published);
+    this->publish(Host.Name, Roster->Published);
+  }
+  if (auto *Record = std::get_if<RecordOrder>(&Effect)) {
+    message::PlannerCommand Command;
+    auto &Body = *Command.mutable_record();
+    Body.set_failure_domain(Domain);
+    Body.set_epoch(Host.Granted);
+    auto Add = [](message::PlannerCommand::OpenOrder &To,
+                  const RecordedOrder &From) {
+      To.set_endpoint(From.Endpoint);
+      To.set_incarnation(From.Life);
+      To.set_number(From.Number);
+    };
+    Add(*Body.add_orders(), Record->Record);
+    for (const RecordedOrder &Each : Record->Settled)
+      Add(*Body.add_settled(), Each);
+    Host.Records.emplace(Record->Record.Number, std::move(Command));
+    this->proposeRecords(Host);
+  }
+}
+
+void FleetCluster::proposeRecords(EntryHost &Host) {
+  for (const auto &[Number, Command] : Host.Records)
+    this->send(Host.Name, Control, MessageKind::Control,
+               [this, From = Host.Name, Number = Number, Command = Command] {
+                 if (!this->Grants.apply(Command))
+                   return;
+                 this->send(Control, From, MessageKind::Control,
+                            [this, From, Number] {
+                              EntryHost &At = this->entryHost(From);
+                              if (At.Records.erase(Number) > 0)
+                                At.Planner->orderRecorded(this->Now, Number);
+                            });
+               });
+}
+
+void FleetCluster::sendOrder(const HostName &From, const SendOrder &Effect) {
+  this->send(From, Effect.Endpoint, MessageKind::Order,
+             [this, From, To = Effect.Endpoint, Sent = Effect.Sent] {
+               OrderResult Result = this->engine(To).take(this->Now, Sent);
+               this->send(To, From, MessageKind::OrderAnswer,
+                          [this, From, Number = Sent.Number, Result] {
+                            this->entryHost(From).Planner->orderAnswered(
+                                Number, Result);
+                          });
+             });
+}
+
+void FleetCluster::publish(const HostName &From, const Roster &New) {
+  for (const auto &[Name, Host] : this->EntryHosts)
+    this->send(From, Name, MessageKind::Roster, [this, Name = Name, New] {
+      EntryHost &At = this->entryHost(Name);
+      At.Directory->rosterUpdated(New);
+      At.Planner->rosterSeen(New);
+    });
+}
+
+void FleetCluster::pingControl(EntryHost &Host) {
+  this->send(Host.Name, Control, MessageKind::Control,
+             [this, Name = Host.Name, Life = Host.Life] {
+               this->Watch.heard(this->Now, Domain, Name, Life);
+               this->controlAnswers(Name, Life);
+             });
+}
+
+void FleetCluster::controlAnswers(const HostName &To, Incarnation Life) {
+  const PlannerGrant *Grant = this->Grants.find(Domain);
+  if (!Grant)
+    return;
+  this->send(Control, To, MessageKind::Control,
+             [this, To, Life, Given = *Grant] {
+               EntryHost &At = this->entryHost(To);
+               if (At.Life != Life || Given.Epoch < At.Granted)
+                 return;
+               if (Given.Host != To || Given.HostLife != Life) {
+                 At.Planner->revoked();
+                 return;
+               }
+               if (Given.Epoch == At.Granted) {
+                 At.Planner->confirmed(this->Now);
+                 return;
+               }
+               At.Granted = Given.Epoch;
+               std::vector<RecordedOrder> Recorded;
+               for (const auto &[Name, Each] : Given.Orders)
+                 Recorded.push_back(Each);
+               At.Planner->granted(this->Now, Given.Epoch, Recorded);
+             });
+}
+
+/// Through the platform's balancer: to any entry host that is up.
+void FleetCluster::announceFrom(FakeEngine &Engine) {
+  std::vector<HostName> Up;
+  for (const auto &[Name, Host] : this->EntryHosts)
+    if (Host.Alive && !Host.Frozen)
+      Up.push_back(Name);
+  Announcement Said = Engine.announce();
+  if (Up.empty())
+    return;
+  HostName To = Up[this->Random() % Up.size()];
+  this->send(Said.Endpoint, To, MessageKind::Announcement, [this, To, Said] {
+    TimePoint MadeAt = this->Now;
+    this->hear(To, Said, MadeAt);
+    for (const auto &[Name, Host] : this->EntryHosts)
+      if (Name != To)
+        this->send(To, Name, MessageKind::Relay,
+                   [this, Name = Name, Said, MadeAt] {
+                     this->hear(Name, Said, MadeAt);
+                   });
+  });
+}
+
+/// A relay's age is known up to the link's delay; the fake knows it exactly.
+void FleetCluster::hear(const HostName &At, const Announcement &Said,
+                        TimePoint MadeAt) {
+  EntryHost &Host = this->entryHost(At);
+  Host.Directory->announced(this->Now, Said, this->Now - MadeAt);
+  Host.Planner->announced(this->Now, Said, this->Now - MadeAt);
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Tests/FleetCluster/FleetFaults.cpp
@@ -0,0 +1,146 @@
+//===- Tests/FleetCluster/FleetFaults.cpp - What happens to the domain ----===//
+///
+/// \file
+/// Faults, and the requests that run through the domain meanwhile.
+///
+//===----------------------------------------------------------------------===//
+
+#include "FleetCluster.h"
+
+namespace carobhinge {
+
+using Milliseconds = std::chrono::milliseconds;
+
+void FleetCluster::killEntryHost(const HostName &Name) {
+  EntryHost &Host = this->entryHost(Name);
+  Host.Alive = false;
+  Host.Outstanding.clear();
+  Host.Records.clear();
+  this->Waiting.erase(Name);
+}
+
+void FleetCluster::restartEntryHost(const HostName &Name) {
+  this->killEntryHost(Name);
+  EntryHost &Host = this->entryHost(Name);
+  ++Host.Life;
+  this->startEntryHost(Host);
+}
+
+void FleetCluster::setFrozen(const HostName &Name, bool Frozen) {
+  this->entryHost(Name).Frozen = Frozen;
+}
+
+void FleetCluster::disturb(const FakeEngine &Engine) {
+  this->Disturbed.insert(Engine.Said.Place.Number);
+}
+
+void FleetCluster::pause(const EndpointName &Name) {
+  FakeEngine &Engine = this->engine(Name);
+  this->disturb(Engine);
+  if (Engine.isRunning())
+    Engine.pause(this->Now);
+}
+
+void FleetCluster::resume(const EndpointName &Name) {
+  this->engine(Name).resume();
+}
+
+void FleetCluster::kill(const EndpointName &Name) {
+  this->disturb(this->engine(Name));
+  this->engine(Name).kill(this->Now);
+  this->Waiting.erase(Name);
+  this->dropRequests(Name);
+}
+
+void FleetCluster::restart(const EndpointName &Name) {
+  this->kill(Name);
+  this->engine(Name).restart(this->Now);
+}
+
+void FleetCluster::leave(const EndpointName &Name) {
+  this->engine(Name).Said.Leaving = true;
+  this->engine(Name).LeavingSince = this->Now;
+}
+
+void FleetCluster::cut(const std::string &One, const std::string &Other) {
+  this->Cuts.insert({One, Other});
+  this->Cuts.insert({Other, One});
+}
+
+void FleetCluster::setIntent(const FleetIntent &New) {
+  if (New.DomainOut && !this->Intent.DomainOut)
+    this->DomainOutSince = this->Now;
+  if (!New.DomainOut)
+    this->DomainOutSince = TimePoint::max();
+  this->Intent = New;
+  for (auto &[Name, Host] : this->EntryHosts) {
+    Host.Directory->intentChanged(New);
+    Host.Planner->intentChanged(New);
+  }
+}
+
+void FleetCluster::startRequests(EntryHost &Host) {
+  static constexpr std::uint32_t TicksPerSecond = 20;
+  std::uint32_t PerMille =
+      this->Options.RequestsPerSecond * 1000 / TicksPerSecond;
+  if (PerMille == 0 || !this->chance(PerMille))
+    return;
+  std::vector<Target> Open;
+  for (const Target &Each : Host.Directory->targets(this->Now, "sheets"))
+    if (!Each.Draining && Host.Outstanding[Each.Name].size() < Each.SlotLimit)
+      Open.push_back(Each);
+  if (!Open.empty())
+    this->startRequest(Host, Open[this->Random() % Open.size()]);
+}
+
+void FleetCluster::startRequest(EntryHost &Host, const Target &To) {
+  static constexpr Duration AllowedDelay = std::chrono::seconds(5);
+  EngineRequest Request;
+  Request.EntryHost = Host.Name;
+  Request.Id = ++this->RequestCount;
+  Request.EndsAt =
+      this->Now + Milliseconds(500 + static_cast<int>(this->Random() % 3000));
+  Host.Outstanding[To.Name].emplace(Request.Id, To.Address);
+  GroupPlace At = {.Group = To.Name,
+                   .Number = To.Number,
+                   .Rank = 0,
+                   .Size = this->Options.HostsPerGroup};
+  const FakeEngine &Engine = this->engine(To.Address);
+  if (Engine.Said.Leaving && this->Now - Engine.LeavingSince > AllowedDelay)
+    this->violation("new work for the leaving " + To.Address);
+  if (this->DomainOutSince <= this->Now - AllowedDelay)
+    this->violation("new work for a failure domain that is out");
+  this->send(Host.Name, To.Address, MessageKind::Request,
+             [this, Address = To.Address, At, Request] {
+               if (this->engine(Address).take(this->Now, At, Request))
+                 ++this->RequestsStarted;
+               else
+                 this->endRequest(Request, At.Group);
+             });
+}
+
+void FleetCluster::endRequest(const EngineRequest &Which,
+                              const GroupName &Group) {
+  this->send(
+      "", Which.EntryHost, MessageKind::RequestEnd, [this, Which, Group] {
+        this->entryHost(Which.EntryHost).Outstanding[Group].erase(Which.Id);
+      });
+}
+
+void FleetCluster::dropRequests(const EndpointName &Engine) {
+  for (auto &[Name, Host] : this->EntryHosts)
+    for (auto &[Group, Requests] : Host.Outstanding)
+      std::erase_if(Requests, [&Engine](const auto &Each) {
+        return Each.second == Engine;
+      });
+}
+
+std::uint32_t FleetCluster::requestsCutOff() const {
+  std::uint32_t Result = 0;
+  for (const auto &[Name, Engine] : this->Engines)
+    for (const auto &[Number, Count] : Engine.CutOff)
+      Result += this->Disturbed.contains(Number) ? 0 : Count;
+  return Result;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Tests/FleetCluster/FleetInvariants.cpp
@@ -0,0 +1,150 @@
+//===- Tests/FleetCluster/FleetInvariants.cpp - What must always hold -----===//
+///
+/// \file
+/// Compares what the entry hosts believe with what the engines truly are.
+///
+//===----------------------------------------------------------------------===//
+
+#include "FleetCluster.h"
+
+namespace carobhinge {
+
+using Milliseconds = std::chrono::milliseconds;
+
+/// How long an announcement may hold after it stopped being true: its lifetime
+/// and the way to the entry host.
+static constexpr Duration StaleLimit = Milliseconds(3000 + 200);
+
+void FleetCluster::violation(const std::string &What) {
+  this->Violations.push_back(
+      "at " + std::to_string(milliseconds(this->Now.time_since_epoch())) +
+      " ms: " + What);
+}
+
+void FleetCluster::check() {
+  for (auto &[Name, Engine] : this->Engines) {
+    for (const std::string &Each : Engine.Violations)
+      this->violation(Each);
+    Engine.Violations.clear();
+    if (Engine.isRunning() && Engine.Said.State == Readiness::Cold &&
+        Engine.Said.Place.Rank == 0)
+      this->checkBudget(Engine);
+  }
+  for (const auto &[Name, Host] : this->EntryHosts)
+    if (Host.Alive && !Host.Frozen)
+      this->checkTargets(Host);
+  if (this->requestsCutOff() > 0 && this->Violations.empty())
+    this->violation("a planned change cut off a request");
+}
+
+/// No partial group is a target.
+void FleetCluster::checkTargets(const EntryHost &Host) {
+  for (const Target &Each : Host.Directory->targets(this->Now, "sheets")) {
+    for (const RosterGroup &Group : Host.Directory->roster().Groups) {
+      if (Group.Group != Each.Name)
+        continue;
+      for (std::uint32_t Rank = 0; Rank < Group.Members.size(); ++Rank) {
+        GroupPlace Place = {
+            .Group = Group.Group,
+            .Number = Group.Number,
+            .Rank = Rank,
+            .Size = static_cast<std::uint32_t>(Group.Members.size())};
+        const RosterMember &Member = Group.Members[Rank];
+        std::optional<TimePoint> Gone =
+            this->engine(Member.Endpoint).goneSince(Place, Member.Life);
+        if (Gone && this->Now - *Gone > StaleLimit)
+          this->violation(Host.Name + " routes to " + Group.Group +
+                          " without " + Member.Endpoint);
+      }
+    }
+  }
+}
+
+/// The shares of a cold target never add up to more than its budget.
+void FleetCluster::checkBudget(const FakeEngine &Front) {
+  const FleetService &Service = this->Intent.Services.at("sheets");
+  std::uint32_t Budget =
+      warmUpBudget(Service.WarmUpBudget, Front.Said.BatchLimit,
+                   this->Now - Front.ColdSince, Front.Said.Answered, {});
+  std::uint32_t Sum = 0;
+  for (const auto &[Name, Host] : this->EntryHosts) {
+    if (!Host.Alive || Host.Frozen)
+      continue;
+    for (const Target &Each : Host.Directory->targets(this->Now, "sheets")) {
+      if (Each.Name != Front.Said.Place.Group)
+        continue;
+      bool Unknown = !Each.WarmingUp;
+      if (Unknown && this->Now - Front.ColdSince > StaleLimit)
+        this->violation(Name + " takes " + Each.Name + " as warm");
+      Sum += Unknown ? 0 : Each.SlotLimit;
+    }
+  }
+  if (Sum > Budget)
+    this->violation(Front.Said.Place.Group + " gets " + std::to_string(Sum) +
+                    " slots of a budget of " + std::to_string(Budget));
+  std::uint32_t Started = 0;
+  for (const EngineRequest &Each : Front.Requests)
+    Started += Each.StartedAt > Front.ColdSince + StaleLimit ? 1 : 0;
+  if (Started > Budget)
+    this->violation(Front.Said.Place.Group + " runs " +
+                    std::to_string(Started) + " requests, budget " +
+                    std::to_string(Budget));
+}
+
+/// No host has two places.
+void FleetCluster::checkRoster(const Roster &Published) {
+  std::set<HostName> Seen;
+  for (const RosterGroup &Group : Published.Groups) {
+    std::set<FabricDomainName> Fabrics;
+    for (const RosterMember &Member : Group.Members) {
+      const Announcement &Said = this->engine(Member.Endpoint).Said;
+      Fabrics.insert(Said.FabricDomain);
+      bool IsCurrent = Member.Life == Said.Life;
+      if (!Seen.insert(Said.Host).second && IsCurrent &&
+          Group.State != GroupState::Broken)
+        this->violation(Said.Host + " has two places in the roster");
+    }
+    if (Fabrics.size() > 1)
+      this->violation(Group.Group + " spans fabric domains");
+  }
+}
+
+std::uint32_t FleetCluster::servingGroups() const {
+  std::map<std::pair<GroupName, FencingNumber>, std::uint32_t> Ready;
+  std::uint32_t Result = 0;
+  for (const auto &[Name, Engine] : this->Engines) {
+    const GroupPlace &Place = Engine.Said.Place;
+    if (!Engine.isRunning() || Place.Group.empty() ||
+        Engine.Said.State == Readiness::Starting)
+      continue;
+    if (++Ready[{Place.Group, Place.Number}] == Place.Size)
+      ++Result;
+  }
+  return Result;
+}
+
+std::uint32_t FleetCluster::targetsEverywhere() const {
+  std::uint32_t Least = UINT32_MAX;
+  for (const auto &[Name, Host] : this->EntryHosts) {
+    if (!Host.Alive || Host.Frozen)
+      continue;
+    std::uint32_t Count = 0;
+    for (const Target &Each : Host.Directory->targets(this->Now, "sheets"))
+      Count += Each.Draining ? 0 : 1;
+    Least = std::min(Least, Count);
+  }
+  return Least;
+}
+
+std::uint32_t FleetCluster::possibleGroups() const {
+  std::map<FabricDomainName, std::uint32_t> Running;
+  for (const auto &[Name, Engine] : this->Engines)
+    if (Engine.isRunning() && !Engine.Said.Leaving)
+      ++Running[Engine.Said.FabricDomain];
+  std::uint32_t Result = 0;
+  for (const auto &[Fabric, Count] : Running)
+    Result += Count / this->Options.HostsPerGroup;
+  return Result;
+}
+
+} // namespace carobhinge
