Benchmarks: Measure commits of one log and the time to recover

The test of repair now watches the moments in which the learner becomes voter and in which the repair is reported; before, it stayed green when the repair was reported without the learner's acknowledgement.

--- a/Meta/CMake/LibConsensus.cmake
+++ b/Meta/CMake/LibConsensus.cmake
@@ -1,2 +1,4 @@
 carobhinge_library(LibConsensus LibStore LibCore protobuf)
 carobhinge_test(LibConsensus LibConsensus)
+carobhinge_benchmark(Consensus LibConsensus)
+carobhinge_benchmark(Recovery LibConsensus)
--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -126,33 +126,41 @@
 }
 
 TEST_F(ReplicaTest, RepairIsCompleteOnlyWithAllVoters) {
-  this->commit(20);
+  this->start({.Hosts = Three, .Bounds = Small});
+  this->commit(150);
   this->loseDisk(this->First);
-  this->Cluster->link(this->First, this->Leader).Delay = 400ms;
-  this->Cluster->advance(3s);
-  bool Complete = false;
-  for (int Round = 0; Round < 2000 && !Complete; ++Round) {
+  this->Cluster->link(this->Leader, this->First).Delay = 300ms;
+  Replica &Leading = this->Cluster->replica(this->Leader);
+  Replica &Repaired = this->Cluster->replica(this->First);
+  auto IsVoterAgain = [&] {
+    return isVoter(Leading.log().configuration(), this->First, Repaired.disk());
+  };
+  for (int Round = 0; Round < 20000 && !IsVoterAgain(); ++Round)
     this->Cluster->advance(10ms);
-    Complete = this->repairComplete();
-  }
-  ASSERT_TRUE(Complete);
+  ASSERT_TRUE(IsVoterAgain());
+  EXPECT_GT(Repaired.log().lastIndex() + 64, Leading.commit());
+  EXPECT_FALSE(this->repairComplete());
+  for (int Round = 0; Round < 2000 && !this->repairComplete(); ++Round)
+    this->Cluster->advance(10ms);
+  ASSERT_TRUE(this->repairComplete());
+  EXPECT_GE(Repaired.log().lastIndex(), Leading.log().configurationIndex());
   // A second host may go in this very moment.
   this->Cluster->kill(this->Leader);
   this->Cluster->heal();
   this->Cluster->advance(10s);
   HostName Next = this->Cluster->leader();
   ASSERT_NE(Next, "");
-  EXPECT_EQ(this->Cluster->machine(Next).Commands.size(), 20U);
+  EXPECT_EQ(this->Cluster->machine(Next).Commands.size(), 150U);
 }
 
 TEST_F(ReplicaTest, CutOffLeaderStopsBeforeAnotherActs) {
   // The worst clocks allowed: the leader's runs slow, the others' fast. The
   // cluster checks that no two hold the lease at once.
   for (std::uint64_t Seed = 1; Seed <= 30; ++Seed) {
-    this->start({.Hosts = Three, .Seed = Seed});
-    this->Cluster->clockRate(this->Leader) = 0.98;
-    this->Cluster->clockRate(this->First) = 1.02;
-    this->Cluster->clockRate(this->Second) = 1.02;
+    this->start({.Hosts = Three, .Seed = Seed, .Timings = {.ClockDrift = 0.2}});
+    this->Cluster->clockRate(this->Leader) = 0.8;
+    this->Cluster->clockRate(this->First) = 1.2;
+    this->Cluster->clockRate(this->Second) = 1.2;
     this->Cluster->advance(5s);
     this->Leader = this->Cluster->leader();
     this->Cluster->isolate(this->Leader);
@@ -319,6 +327,24 @@
   EXPECT_TRUE(this->votes(6));
 }
 
+TEST_F(RestartTest, CountsVotesOfTheIdentitiesThatAreVoters) {
+  this->answer("b", {});
+  this->answer("c", {});
+  this->Now += 2s;
+  this->Voter->tick(this->Now);
+  ASSERT_EQ(this->Voter->role(), Role::PreCandidate);
+  message::ConsensusMessage Message;
+  Message.set_term(5);
+  Message.mutable_vote_reply()->set_trial(true);
+  Message.mutable_vote_reply()->set_granted(true);
+  Message.set_disk("new-disk");
+  this->Voter->receive(this->Now, "b", Message);
+  EXPECT_EQ(this->Voter->role(), Role::PreCandidate);
+  Message.set_disk("b-disk");
+  this->Voter->receive(this->Now, "b", Message);
+  EXPECT_EQ(this->Voter->role(), Role::Candidate);
+}
+
 TEST_F(RestartTest, TakesANewIdentityIfItHoldsLessThanItClaimed) {
   const Claim Kept[] = {{.Term = 5, .LastTerm = 4, .LastIndex = 1},
                         {.Term = 4, .LastTerm = 3, .LastIndex = 9}};
