LibConsensus: Answer a proposal whose place was taken

A proposal at an index that a later term's leader on the same host took over within one batch lost its callback.

--- a/Libraries/LibConsensus/LogDriver.cpp
+++ b/Libraries/LibConsensus/LogDriver.cpp
@@ -204,8 +204,13 @@
           .LeaderHint = this->Runner.replica().leader()});
     return;
   }
+  // One that stood there was replaced in an earlier term.
+  auto Replaced = this->Proposals.extract(Place->Index);
   this->Proposals[Place->Index] = {.Term = Place->Term,
                                    .Done = std::move(Done)};
+  if (Replaced)
+    Replaced.mapped().Done(
+        {.Status = ProposalStatus::Lost, .Index = Place->Index});
 }
 
 void LogDriver::Worker::read(std::function<void(ReadResult)> Done) {
--- a/Tests/LibConsensus/TestLogDriver.cpp
+++ b/Tests/LibConsensus/TestLogDriver.cpp
@@ -8,6 +8,7 @@
 
 #include <LibConsensus/LogDriver.h>
 #include <LibConsensus/ReplicaCluster.h>
+#include <atomic>
 #include <cstdlib>
 #include <future>
 #include <gmock/gmock.h>
@@ -104,15 +105,52 @@
   EXPECT_NE(Next, Leader);
   this->Machines[Leader].Commands.clear();
   this->start(Leader);
-  while (this->propose(Leader, "three").Status != ProposalStatus::Committed) {
-    for (const HostName &Host : this->Names)
-      if (Host != Leader)
-        this->Drivers[Host]->transferLeadership();
-    std::this_thread::sleep_for(50ms);
+  HostName Heir = Next;
+  while (Heir == Next) {
+    this->Drivers[Next]->transferLeadership();
+    Heir = this->commitSomewhere("three");
   }
+  std::uint64_t Commit = this->Drivers[Heir]->status().Commit;
+  while (this->Drivers[Leader]->status().Applied < Commit)
+    std::this_thread::sleep_for(5ms);
   this->stop(Leader);
   EXPECT_THAT(this->Machines[Leader].Commands, testing::Contains("two"));
 }
 
+TEST_F(LogDriverTest, FailedDiskEndsTheVoteUntilARestart) {
+  FakeDisk Failing;
+  this->start("a", &Failing);
+  this->start("b");
+  this->start("c");
+  this->commitSomewhere("one");
+  Failing.FailSyncs = true;
+  while (this->Drivers["a"]->status().LastError.empty())
+    this->commitSomewhere("two");
+  // That the disk seems to work again changes nothing.
+  Failing.FailSyncs = false;
+  std::uint64_t Before = this->Drivers["a"]->status().Applied;
+  for (int I = 0; I < 20; ++I)
+    EXPECT_NE(this->commitSomewhere("three"), "a");
+  EXPECT_EQ(this->propose("a", "four").Status, ProposalStatus::NotLeader);
+  LogStatus Status = this->Drivers["a"]->status();
+  EXPECT_THAT(Status.LastError, testing::HasSubstr("sync"));
+  EXPECT_EQ(Status.Applied, Before);
+  this->stop("a");
+}
+
+TEST_F(LogDriverTest, AnswersEverythingOnceStopped) {
+  for (const HostName &Host : this->Names)
+    this->start(Host);
+  HostName Leader = this->commitSomewhere("one");
+  std::atomic<int> Answers = 0;
+  for (int I = 0; I < 100; ++I) {
+    this->Drivers[Leader]->propose("x", [&](const auto &) { ++Answers; });
+    this->Drivers[Leader]->read([&](const auto &) { ++Answers; });
+  }
+  this->Drivers[Leader]->stop();
+  EXPECT_EQ(Answers, 200);
+  EXPECT_EQ(this->propose(Leader, "y").Status, ProposalStatus::NotLeader);
+}
+
 } // namespace
 } // namespace carobhinge
