--- a/Libraries/LibStore/LogStore.cpp
+++ b/Libraries/LibStore/LogStore.cpp
@@ -34,6 +34,18 @@
   return std::stoull(std::string(Name.substr(Prefix.size())));
 }
 
+/// Adds the records at the front of \p Content to \p Out.
+/// \returns where the first one that is not intact begins.
+static std::uint64_t decodeAll(std::string_view Content,
+                               std::vector<std::string> &Out) {
+  std::uint64_t Good = 0;
+  while (auto Record = decodeRecord(Content.substr(Good))) {
+    Out.emplace_back(Record->Payload);
+    Good += Record->Size;
+  }
+  return Good;
+}
+
 /// Whether a record behind \p Bad says that the byte at \p Bad was durable.
 static bool durableOnce(std::string_view Content, std::uint64_t Bad) {
   for (std::uint64_t At = Bad + 1; At < Content.size(); ++At) {
@@ -84,36 +96,33 @@
     else if (auto Number = numberOf(Name, SegmentPrefix))
       Last = *Number;
   }
-  if (Files.exists(this->snapshot(First))) {
-    std::string Content = Files.read(this->snapshot(First));
-    std::optional<DecodedRecord> Record = decodeRecord(Content);
-    if (!Record || Record->Size != Content.size())
-      throw DamageError(this->snapshot(First), 0, "the snapshot is damaged");
-    this->Stored.Snapshot = std::string(Record->Payload);
-    if (Last < First)
-      throw DamageError(this->segment(First), 0, "the segment is missing");
-  }
+  if (Files.exists(this->snapshot(First)))
+    this->readSnapshot(First);
   for (std::uint64_t Number = First; Number <= Last; ++Number)
     this->readSegment(Number, Number == Last);
   if (Last < First)
     this->beginSegment(First);
 }
 
+void LogStore::readSnapshot(std::uint64_t Number) {
+  std::filesystem::path Path = this->snapshot(Number);
+  std::string Content = this->Options.Files->read(Path);
+  std::vector<std::string> Records;
+  std::uint64_t Good = decodeAll(Content, Records);
+  if (Records.empty() || Good < Content.size())
+    throw DamageError(Path, Good, "the snapshot is damaged");
+  this->Stored.Snapshot = std::move(Records.front());
+  Records.erase(Records.begin());
+  this->Stored.Records = std::move(Records);
+}
+
 void LogStore::readSegment(std::uint64_t Number, bool Last) {
   Disk &Files = *this->Options.Files;
   std::filesystem::path Path = this->segment(Number);
   if (!Files.exists(Path))
     throw DamageError(Path, 0, "the segment is missing");
   std::string Content = Files.read(Path);
-  std::uint64_t Good = 0;
-  while (Good < Content.size()) {
-    std::optional<DecodedRecord> Record =
-        decodeRecord(std::string_view(Content).substr(Good));
-    if (!Record)
-      break;
-    this->Stored.Records.emplace_back(Record->Payload);
-    Good += Record->Size;
-  }
+  std::uint64_t Good = decodeAll(Content, this->Stored.Records);
   if (Good < Content.size()) {
     if (!Last || durableOnce(Content, Good))
       throw DamageError(Path, Good, "a record is damaged");
@@ -172,16 +181,16 @@
     std::uint64_t Old = this->Current;
     std::uint64_t Next = Old + 1;
     std::string Content;
+    encodeRecord(Content, Snapshot, 0);
     for (const std::string &Record : Carried)
       encodeRecord(Content, Record, 0);
-    writeAside(Files, this->segment(Next), Content);
-    std::string Whole;
-    encodeRecord(Whole, Snapshot, 0);
-    writeAside(Files, this->snapshot(Next), Whole);
-    this->Current = Next;
+    // Its name becomes durable together with that of the snapshot.
     this->File = Files.open(this->segment(Next));
-    this->Length = Content.size();
-    this->Durable = Content.size();
+    this->Current = Next;
+    this->Length = 0;
+    this->Durable = 0;
+    writeAside(Files, this->snapshot(Next), Content);
+    // If the removals are lost in a crash, the next snapshot repeats them.
     for (const std::string &Name : Files.list(this->Options.Folder)) {
       std::optional<std::uint64_t> Number = numberOf(Name, SegmentPrefix);
       if (!Number)
@@ -189,7 +198,6 @@
       if (Number && *Number <= Old)
         Files.remove(this->Options.Folder / Name);
     }
-    Files.syncFolder(this->Options.Folder);
   });
 }
 
--- a/Libraries/LibStore/LogStore.h
+++ b/Libraries/LibStore/LogStore.h
@@ -10,10 +10,9 @@
 /// in front of one that was written after a later sync was durable once; that,
 /// a bad record in any earlier segment, and a missing file are damage.
 ///
-/// Snapshot N stands in front of segment N. Segment N begins with the records
-/// carried over, is complete before the snapshot gets its name, and repeats
-/// only what the earlier segments hold, so that a crash between the two
-/// changes nothing that a reader of all segments in order sees.
+/// Snapshot N stands in front of segment N and holds the records carried over
+/// as well, so that it replaces all earlier files at the moment in which it
+/// gets its name, by one sync of the file and one of the folder.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -82,6 +81,7 @@
 
 private:
   void open();
+  void readSnapshot(std::uint64_t Number);
   void readSegment(std::uint64_t Number, bool Last);
   void beginSegment(std::uint64_t Number);
   void flush();
