LibFleet: Test forming, repair, drains, grants and one host's view

The cluster's check of the warm-up budget now allows for an endpoint that turned cold without a restart: until its next announcement an entry host may know the budget of an earlier warm-up.

--- a/Libraries/LibFleet/FleetIntent.h
+++ b/Libraries/LibFleet/FleetIntent.h
@@ -19,7 +19,7 @@
   /// Zero for a plain service, whose endpoints serve each by itself.
   std::uint32_t HostsPerGroup = 0;
   /// The version that groups are formed with. May be empty.
-  std::string Version;
+  std::string Version = {};
   /// Requests that a cold target bears at once, over all entry hosts.
   std::uint32_t WarmUpBudget = 2;
 
--- a/Tests/FleetCluster/FakeEngine.cpp
+++ b/Tests/FleetCluster/FakeEngine.cpp
@@ -49,6 +49,7 @@
   bool Holds = this->Loaded == Wanted;
   this->Loaded.reset();
   this->Loading = Wanted;
+  this->Chilled = false;
   this->LoadedAt = Now + (Holds ? this->Times.Rejoin : this->Times.Load);
   // Weights that stayed in memory are warm.
   this->ColdSince = Holds ? TimePoint::min() : this->LoadedAt;
@@ -139,6 +140,7 @@
   this->Said.State = Readiness::Cold;
   this->Said.Answered = 0;
   this->ColdSince = Now;
+  this->Chilled = true;
 }
 
 std::optional<TimePoint> FakeEngine::goneSince(const GroupPlace &Place,
--- a/Tests/FleetCluster/FakeEngine.h
+++ b/Tests/FleetCluster/FakeEngine.h
@@ -59,6 +59,8 @@
   bool Alive = true;
   bool Paused = false;
   TimePoint ColdSince;
+  /// It became cold without a restart, which no entry host knew beforehand.
+  bool Chilled = false;
   TimePoint LeavingSince;
   std::vector<EngineRequest> Requests;
   /// Broken promises: orders that a host without fencing must never see.
--- a/Tests/FleetCluster/FleetInvariants.cpp
+++ b/Tests/FleetCluster/FleetInvariants.cpp
@@ -62,6 +62,9 @@
 
 /// The shares of a cold target never add up to more than its budget.
 void FleetCluster::checkBudget(const FakeEngine &Front) {
+  // An entry host may still know the budget of an earlier warm-up.
+  if (Front.Chilled && this->Now - Front.ColdSince <= StaleLimit)
+    return;
   const FleetService &Service = this->Intent.Services.at("sheets");
   std::uint32_t Budget =
       warmUpBudget(Service.WarmUpBudget, Front.Said.BatchLimit,
--- a/Tests/LibFleet/TestGroupPlanner.cpp
+++ b/Tests/LibFleet/TestGroupPlanner.cpp
@@ -131,3 +131,196 @@
 RC_GTEST_PROP(GroupPlanner, ConvergesAfterAnyFaultsWithoutFencing, ()) {
   convergesWhatever(false);
 }
+
+static const RosterGroup &onlyGroup(FleetCluster &Cluster) {
+  return Cluster.entryHost("entry-1").Directory->roster().Groups.at(0);
+}
+
+TEST(GroupPlanner, SpareTakesThePlaceOfALostMember) {
+  FleetCluster Cluster({.EnginesPerFabric = 3});
+  expectWhole(Cluster, minutes(2));
+  RosterGroup Before = onlyGroup(Cluster);
+  Cluster.kill(Before.Members[1].Endpoint);
+  EXPECT_TRUE(Cluster.runUntil(
+      [&] { return onlyGroup(Cluster).Number != Before.Number; }, seconds(20)));
+  expectWhole(Cluster, minutes(1));
+  RosterGroup After = onlyGroup(Cluster);
+  EXPECT_EQ(After.Group, Before.Group);
+  EXPECT_EQ(After.Members[0], Before.Members[0]);
+  EXPECT_NE(After.Members[1].Endpoint, Before.Members[1].Endpoint);
+  // The lost member comes back from its pause and finds its place taken.
+  Cluster.restart(Before.Members[1].Endpoint);
+  Cluster.run(minutes(1));
+  EXPECT_EQ(onlyGroup(Cluster), After);
+}
+
+TEST(GroupPlanner, MemberThatPausesKeepsItsPlace) {
+  FleetCluster Cluster({.EnginesPerFabric = 3});
+  expectWhole(Cluster, minutes(2));
+  RosterGroup Before = onlyGroup(Cluster);
+  Cluster.pause(Before.Members[1].Endpoint);
+  EXPECT_TRUE(Cluster.runUntil([&] { return Cluster.targetsEverywhere() == 0; },
+                               seconds(4)));
+  Cluster.run(seconds(4));
+  Cluster.resume(Before.Members[1].Endpoint);
+  expectWhole(Cluster, seconds(3));
+  EXPECT_EQ(onlyGroup(Cluster), Before);
+}
+
+TEST(GroupPlanner, PausedMemberThatWasReplacedIsSentAway) {
+  FleetCluster Cluster({.EnginesPerFabric = 3});
+  expectWhole(Cluster, minutes(2));
+  EndpointName Paused = onlyGroup(Cluster).Members[1].Endpoint;
+  Cluster.pause(Paused);
+  Cluster.run(minutes(1));
+  Cluster.resume(Paused);
+  EXPECT_TRUE(Cluster.runUntil(
+      [&] { return Cluster.engine(Paused).Said.Place.Group.empty(); },
+      seconds(5)));
+  expectWhole(Cluster, minutes(1));
+}
+
+TEST(GroupPlanner, SurvivorsOfTwoGroupsFormOne) {
+  FleetCluster Cluster({.EnginesPerFabric = 4});
+  expectWhole(Cluster, minutes(2));
+  for (const RosterGroup &Each :
+       Cluster.entryHost("entry-1").Directory->roster().Groups)
+    Cluster.kill(Each.Members[0].Endpoint);
+  EXPECT_EQ(Cluster.possibleGroups(), 1U);
+  Cluster.run(seconds(20));
+  expectWhole(Cluster, minutes(1));
+}
+
+TEST(GroupPlanner, FabricDomainThatWasDarkServesWithoutLoading) {
+  FleetCluster Cluster({.EnginesPerFabric = 4});
+  expectWhole(Cluster, minutes(2));
+  std::vector<RosterGroup> Before =
+      Cluster.entryHost("entry-1").Directory->roster().Groups;
+  for (auto &[Name, Engine] : Cluster.Engines)
+    Cluster.pause(Name);
+  Cluster.run(minutes(2));
+  EXPECT_EQ(Cluster.targetsEverywhere(), 0U);
+  for (auto &[Name, Engine] : Cluster.Engines)
+    Cluster.resume(Name);
+  expectWhole(Cluster, seconds(5));
+  EXPECT_EQ(Cluster.entryHost("entry-1").Directory->roster().Groups, Before);
+}
+
+TEST(GroupPlanner, PlannedChangesCutOffNothing) {
+  FleetCluster Cluster({.EnginesPerFabric = 5, .RequestsPerSecond = 20});
+  expectWhole(Cluster, minutes(2));
+  Cluster.leave(onlyGroup(Cluster).Members[0].Endpoint);
+  Cluster.run(seconds(40));
+  FleetIntent Newer = Cluster.Intent;
+  Newer.Services["sheets"].Version = "v2";
+  Cluster.setIntent(Newer);
+  Cluster.run(minutes(3));
+  expectWhole(Cluster, minutes(1));
+  EXPECT_GT(Cluster.RequestsStarted, 100U);
+  for (const auto &[Name, Engine] : Cluster.Engines)
+    EXPECT_TRUE(Engine.Said.Leaving || Engine.Said.Place.Group.empty() ||
+                Engine.Said.Version == "v2")
+        << Name;
+}
+
+TEST(GroupPlanner, DrainWaitsForAnEntryHostThatIsSilent) {
+  FleetCluster Cluster({.EnginesPerFabric = 3, .RequestsPerSecond = 20});
+  expectWhole(Cluster, minutes(2));
+  EndpointName Leaving = onlyGroup(Cluster).Members[0].Endpoint;
+  Cluster.setFrozen("entry-2", true);
+  Cluster.run(seconds(1));
+  Cluster.leave(Leaving);
+  Cluster.run(minutes(1));
+  EXPECT_FALSE(Cluster.engine(Leaving).Said.Place.Group.empty());
+  Cluster.setFrozen("entry-2", false);
+  Cluster.run(seconds(10));
+  expectWhole(Cluster, minutes(1));
+  EXPECT_TRUE(Cluster.engine(Leaving).Said.Place.Group.empty());
+}
+
+TEST(GroupPlanner, DomainThatIsOutGetsNoNewWorkAndKeepsItsGroups) {
+  FleetCluster Cluster({.RequestsPerSecond = 20});
+  expectWhole(Cluster, minutes(2));
+  FleetIntent Out = Cluster.Intent;
+  Out.DomainOut = true;
+  Cluster.setIntent(Out);
+  Cluster.run(seconds(10));
+  std::uint64_t Started = Cluster.RequestsStarted;
+  Cluster.run(minutes(1));
+  EXPECT_EQ(Cluster.RequestsStarted, Started);
+  EXPECT_EQ(Cluster.servingGroups(), 2U);
+  Out.DomainOut = false;
+  Cluster.setIntent(Out);
+  Cluster.run(seconds(10));
+  EXPECT_GT(Cluster.RequestsStarted, Started);
+}
+
+TEST(GroupPlanner, CutOffDomainGoesOnPlanning) {
+  FleetCluster Cluster({.EnginesPerFabric = 3});
+  expectWhole(Cluster, minutes(2));
+  Cluster.cut("entry-1", "control");
+  Cluster.cut("entry-2", "control");
+  Cluster.run(seconds(20));
+  Cluster.kill(onlyGroup(Cluster).Members[1].Endpoint);
+  Cluster.run(seconds(20));
+  expectWhole(Cluster, minutes(1));
+}
+
+/// A frozen holder wakes up beside its successor: its orders are refused by
+/// engines with fencing, and never sent to those without.
+TEST(GroupPlanner, EarlierHolderDoesNoHarm) {
+  for (bool ChecksFencing : {true, false}) {
+    FleetCluster Cluster(
+        {.EnginesPerFabric = 5, .ChecksFencing = ChecksFencing});
+    Cluster.run(seconds(8));
+    HostName Earlier = Cluster.holder();
+    Cluster.setFrozen(Earlier, true);
+    Cluster.run(seconds(30));
+    EXPECT_NE(Cluster.holder(), Earlier);
+    Cluster.setFrozen(Earlier, false);
+    Cluster.run(seconds(10));
+    expectWhole(Cluster, minutes(2));
+  }
+}
+
+/// The first order to an engine without fencing arrives a minute late.
+TEST(GroupPlanner, LateOrderMeetsNoOtherOne) {
+  FleetCluster Cluster({.EnginesPerFabric = 3, .ChecksFencing = false});
+  bool Delayed = false;
+  EndpointName Late;
+  Cluster.OnSend = [&](const Envelope &What, MessageFate &Fate) {
+    if (What.Kind != MessageKind::Order || Delayed)
+      return;
+    Delayed = true;
+    Late = What.To;
+    Fate.Late = minutes(1);
+  };
+  Cluster.run(seconds(30));
+  ASSERT_TRUE(Delayed);
+  HostName Earlier = Cluster.holder();
+  Cluster.killEntryHost(Earlier);
+  Cluster.run(seconds(20));
+  EXPECT_EQ(Cluster.engine(Late).Said.LastOrder, 0U);
+  Cluster.run(minutes(2));
+  Cluster.restartEntryHost(Earlier);
+  expectWhole(Cluster, minutes(1));
+}
+
+TEST(GroupPlanner, LoadsNoMoreAtOnceThanTheWeightStoreBears) {
+  FleetClusterOptions Options = {.FabricDomains = 2, .EnginesPerFabric = 8};
+  Options.Planner.LoadsAtOnce = 3;
+  FleetCluster Cluster(Options);
+  std::uint32_t Most = 0;
+  for (int I = 0; I < 400; ++I) {
+    Cluster.run(std::chrono::milliseconds(500));
+    std::uint32_t Loading = 0;
+    for (const auto &[Name, Engine] : Cluster.Engines)
+      Loading += !Engine.Said.Place.Group.empty() &&
+                         Engine.Said.State == Readiness::Starting
+                     ? 1
+                     : 0;
+    Most = std::max(Most, Loading);
+  }
+  EXPECT_EQ(Most, 3U);
+  expectWhole(Cluster, minutes(1));
+}
