--- a/Libraries/LibLedger/Ledger.cpp
+++ b/Libraries/LibLedger/Ledger.cpp
@@ -185,8 +185,11 @@
       {Held->Host,
        {Asked.key().service(), {Asked.key().workspace(), Asked.key().key()}}});
   Held->Outcome = Asked.outcome();
-  if (Asked.outcome().body().size() > this->Limits.BodyBytes)
+  std::size_t Bytes = Asked.outcome().body().size();
+  if (Bytes > this->Limits.BodyBytes ||
+      this->BodyTotal + Bytes > this->Limits.BodyTotalBytes)
     Held->Outcome->clear_body();
+  this->BodyTotal += Held->Outcome->body().size();
   return replyOf(message::LEDGER_DONE, Index);
 }
 
@@ -248,6 +251,8 @@
         continue;
       }
       this->InFlight.erase({Each->second.Host, {Asked.service(), Each->first}});
+      if (Each->second.Outcome)
+        this->BodyTotal -= Each->second.Outcome->body().size();
       Each = Day->second.erase(Each);
       --this->RecordCount;
     }
@@ -276,7 +281,9 @@
   Service.Kept += Fresh.Rule == message::LEDGER_KEY_KEPT ? 1 : 0;
   ++this->RecordCount;
   RecordName Name{Key.workspace(), Key.key()};
-  if (!Fresh.Outcome)
+  if (Fresh.Outcome)
+    this->BodyTotal += Fresh.Outcome->body().size();
+  else
     this->InFlight.insert({Fresh.Host, {Key.service(), Name}});
   bool Inserted = Service.Days[bucketOf(Key)]
                       .emplace(std::move(Name), std::move(Fresh))
--- a/Libraries/LibLedger/Ledger.h
+++ b/Libraries/LibLedger/Ledger.h
@@ -31,6 +31,9 @@
 struct LedgerLimits {
   /// Longest answer body that is kept whole; of longer ones digest and length.
   std::size_t BodyBytes = 16 * 1024;
+  /// Most bytes of all kept bodies together; beyond it a body counts as too
+  /// long.
+  std::size_t BodyTotalBytes = 256 * 1024 * 1024;
   std::size_t KeyBytes = 256;
   /// Most records of one service under the rule `kept`.
   std::size_t KeptRecords = 100'000;
@@ -122,6 +125,9 @@
   [[nodiscard]] bool ticketStands(const message::LedgerClaim &Asked) const;
   [[nodiscard]] message::LedgerKeyRefusal
   refusalOf(const message::LedgerClaim &Asked, std::int64_t StampMs) const;
+  static void writeRecord(message::LedgerSnapshotRecord &Out,
+                          const Record &Held);
+  static Record readRecord(const message::LedgerSnapshotRecord &In);
   /// Grants the claim again to the attempt that already holds it.
   static message::LedgerReply claimAgain(std::uint64_t Index, Record &Held,
                                          const message::LedgerClaim &Asked);
@@ -129,6 +135,8 @@
   LedgerLimits Limits;
   std::map<ServiceName, ServiceRecords, std::less<>> Services;
   std::size_t RecordCount = 0;
+  /// Bytes of the bodies of all records.
+  std::size_t BodyTotal = 0;
   /// Exactly the records without an outcome, by the host that holds them.
   std::set<std::pair<HostName, KeyName>> InFlight;
   /// Index of the newest closed mark of a key, and the same by age. Both hold
--- a/Libraries/LibLedger/LedgerSnapshot.cpp
+++ b/Libraries/LibLedger/LedgerSnapshot.cpp
@@ -21,42 +21,72 @@
   Out.set_key(Name.second);
 }
 
+/// Appends \p Part and empties it. Serialized messages that stand one after
+/// the other decode as their union, so a snapshot is never held twice.
+static void append(std::string &Bytes, message::LedgerSnapshot &Part) {
+  std::string Scratch;
+  {
+    google::protobuf::io::StringOutputStream Stream(&Scratch);
+    google::protobuf::io::CodedOutputStream Coded(&Stream);
+    // Without this, protobuf may write map entries in any order.
+    Coded.SetSerializationDeterministic(true);
+    Part.SerializeToCodedStream(&Coded);
+  }
+  Bytes += Scratch;
+  Part.Clear();
+}
+
+void Ledger::writeRecord(message::LedgerSnapshotRecord &Out,
+                         const Record &Held) {
+  Out.set_content_digest(Held.ContentDigest);
+  Out.set_rule(Held.Rule);
+  Out.mutable_holder()->set_host(Held.Host);
+  Out.mutable_holder()->set_incarnation(Held.Life);
+  Out.mutable_holder()->set_attempt(Held.Attempt);
+  Out.set_dispatch(Held.Dispatch);
+  Out.set_endpoint(Held.Endpoint);
+  if (Held.Outcome)
+    *Out.mutable_outcome() = *Held.Outcome;
+}
+
+Ledger::Record Ledger::readRecord(const message::LedgerSnapshotRecord &In) {
+  Record Held{.ContentDigest = In.content_digest(),
+              .Rule = In.rule(),
+              .Host = In.holder().host(),
+              .Life = In.holder().incarnation(),
+              .Attempt = In.holder().attempt(),
+              .Dispatch = In.dispatch(),
+              .Endpoint = In.endpoint(),
+              .Outcome = std::nullopt};
+  if (In.has_outcome())
+    Held.Outcome = In.outcome();
+  return Held;
+}
+
 std::string Ledger::snapshot() const {
-  message::LedgerSnapshot Out;
+  std::string Bytes;
+  message::LedgerSnapshot Part;
   for (const auto &[Service, Records] : this->Services) {
     if (Records.ForgottenThrough != INT64_MIN)
-      (*Out.mutable_forgotten_through())[Service] = Records.ForgottenThrough;
-    for (const auto &[Day, ByName] : Records.Days) {
+      (*Part.mutable_forgotten_through())[Service] = Records.ForgottenThrough;
+    for (const auto &[Day, ByName] : Records.Days)
       for (const auto &[Name, Held] : ByName) {
-        message::LedgerSnapshotRecord &Each = *Out.add_records();
-        writeKey(*Each.mutable_key(), Service, Name);
-        Each.set_content_digest(Held.ContentDigest);
-        Each.set_rule(Held.Rule);
-        Each.mutable_holder()->set_host(Held.Host);
-        Each.mutable_holder()->set_incarnation(Held.Life);
-        Each.mutable_holder()->set_attempt(Held.Attempt);
-        Each.set_dispatch(Held.Dispatch);
-        Each.set_endpoint(Held.Endpoint);
-        if (Held.Outcome)
-          *Each.mutable_outcome() = *Held.Outcome;
+        message::LedgerSnapshotRecord &Out = *Part.add_records();
+        writeKey(*Out.mutable_key(), Service, Name);
+        writeRecord(Out, Held);
+        append(Bytes, Part);
       }
-    }
   }
   for (const auto &[Index, Name] : this->ClosedByIndex) {
-    message::LedgerSnapshotClosed &Each = *Out.add_closed();
-    writeKey(*Each.mutable_key(), Name.first, Name.second);
-    Each.set_index(Index);
+    message::LedgerSnapshotClosed &Out = *Part.add_closed();
+    writeKey(*Out.mutable_key(), Name.first, Name.second);
+    Out.set_index(Index);
+    append(Bytes, Part);
   }
-  Out.set_horizon(this->Horizon);
+  Part.set_horizon(this->Horizon);
   for (const auto &[Host, Newest] : this->Incarnations)
-    (*Out.mutable_incarnations())[Host] = Newest;
-  std::string Bytes;
-  google::protobuf::io::StringOutputStream Stream(&Bytes);
-  google::protobuf::io::CodedOutputStream Coded(&Stream);
-  // Without this, protobuf may write map entries in any order.
-  Coded.SetSerializationDeterministic(true);
-  Out.SerializeToCodedStream(&Coded);
-  Coded.Trim();
+    (*Part.mutable_incarnations())[Host] = Newest;
+  append(Bytes, Part);
   return Bytes;
 }
 
@@ -64,28 +94,22 @@
   message::LedgerSnapshot In;
   if (!In.ParseFromArray(Snapshot.data(), static_cast<int>(Snapshot.size())))
     throw std::runtime_error("ledger snapshot cannot be decoded");
-  Ledger Fresh(this->Limits);
-  for (const message::LedgerSnapshotRecord &Each : In.records()) {
-    Record Held{.ContentDigest = Each.content_digest(),
-                .Rule = Each.rule(),
-                .Host = Each.holder().host(),
-                .Life = Each.holder().incarnation(),
-                .Attempt = Each.holder().attempt(),
-                .Dispatch = Each.dispatch(),
-                .Endpoint = Each.endpoint(),
-                .Outcome = std::nullopt};
-    if (Each.has_outcome())
-      Held.Outcome = Each.outcome();
-    Fresh.insert(Each.key(), std::move(Held));
-  }
+  this->Services.clear();
+  this->RecordCount = 0;
+  this->BodyTotal = 0;
+  this->InFlight.clear();
+  this->Closed.clear();
+  this->ClosedByIndex.clear();
+  this->Incarnations.clear();
+  for (const message::LedgerSnapshotRecord &Each : In.records())
+    this->insert(Each.key(), readRecord(Each));
   for (const message::LedgerSnapshotClosed &Each : In.closed())
-    Fresh.markClosed(Each.index(), Each.key());
-  Fresh.Horizon = In.horizon();
+    this->markClosed(Each.index(), Each.key());
+  this->Horizon = In.horizon();
   for (const auto &[Host, Newest] : In.incarnations())
-    Fresh.Incarnations[Host] = Newest;
+    this->Incarnations[Host] = Newest;
   for (const auto &[Service, Through] : In.forgotten_through())
-    Fresh.Services[Service].ForgottenThrough = Through;
-  *this = std::move(Fresh);
+    this->Services[Service].ForgottenThrough = Through;
 }
 
 } // namespace carobhinge
--- a/Tests/LibLedger/TestCallAttempt.cpp
+++ b/Tests/LibLedger/TestCallAttempt.cpp
@@ -55,6 +55,8 @@
   /// The index of the first open, which tells older calls from newer ones.
   std::optional<std::uint64_t> OpenedAt;
   std::uint64_t ClosedAt = 0;
+  /// Replies that came too late for the driver's bound.
+  std::vector<LedgerReply> LateReplies;
   int SlotsHeld = 0;
   bool CallerListens = true;
   std::vector<Answer> Answers;
@@ -128,7 +130,14 @@
     if (this->Calls.empty())
       return;
     Call &Which = *this->Calls[Pick.below(this->Calls.size())];
-    switch (Pick.below(4)) {
+    switch (Pick.below(5)) {
+    case 4:
+      if (!Which.LateReplies.empty())
+        this->tell(
+            Which,
+            ClaimAnswered{
+                Which.LateReplies[Pick.below(Which.LateReplies.size())]});
+      break;
     case 0:
       Which.CallerListens = Which.CallerListens && !Which.Answers.empty();
       this->tell(Which, CallerGone{});
@@ -196,14 +205,16 @@
   }
 
   /// Proposes: committed or not, now or later, once or twice, seen or lost.
-  std::optional<LedgerReply> propose(const LedgerCommand &Command, Choice &Pick,
-                                     bool Benign) {
+  std::optional<LedgerReply> propose(Call &Who, const LedgerCommand &Command,
+                                     Choice &Pick, bool Benign) {
     std::size_t Fate = Benign ? 0 : Pick.below(6);
     if (Fate >= 2)
       this->Late.push_back(Command);
     if (Fate >= 4)
       return std::nullopt;
     LedgerReply Reply = this->apply(Command);
+    if (Command.has_claim())
+      Who.LateReplies.push_back(Reply);
     if (Fate == 1 || Fate == 2)
       return std::nullopt;
     return Reply;
@@ -258,23 +269,23 @@
   }
   void carryOut(Call &, const LeaveQueue &, Choice &, bool) {}
   void carryOut(Call &Who, const AskClaim &Asked, Choice &Pick, bool Benign) {
-    auto Reply = this->propose(Asked.Command, Pick, Benign);
+    auto Reply = this->propose(Who, Asked.Command, Pick, Benign);
     if (Reply)
       this->tell(Who, ClaimAnswered{*Reply});
     else
       this->tell(Who, ClaimLost{Asked.Command.claim().dispatch()});
   }
-  void carryOut(Call &, const AskRelease &Asked, Choice &Pick, bool Benign) {
-    this->propose(Asked.Command, Pick, Benign);
+  void carryOut(Call &Who, const AskRelease &Asked, Choice &Pick, bool Benign) {
+    this->propose(Who, Asked.Command, Pick, Benign);
   }
   void carryOut(Call &Who, const AskRecord &Asked, Choice &Pick, bool Benign) {
-    if (this->propose(Asked.Command, Pick, Benign))
+    if (this->propose(Who, Asked.Command, Pick, Benign))
       this->tell(Who, OutcomeRecorded{});
     else
       this->tell(Who, RecordLost{});
   }
   void carryOut(Call &Who, const AskClose &Asked, Choice &Pick, bool Benign) {
-    auto Reply = this->propose(Asked.Command, Pick, Benign);
+    auto Reply = this->propose(Who, Asked.Command, Pick, Benign);
     if (!Reply) {
       this->tell(Who, CloseLost{});
       return;
@@ -318,7 +329,7 @@
     }
     this->tell(Who, AnswerRead{.Status = 200,
                                .ContentType = "text/plain",
-                               .Body = "receipt",
+                               .Body = Fate == 2 ? "rece" : "receipt",
                                .Complete = Fate != 2});
   }
 
@@ -342,3 +353,20 @@
     World.step(Choice(Bits));
   World.settle();
 }
+
+TEST(CallAttempt, LeavesNoClaimBehind) {
+  // A copy of its claim may be committed after the attempt was answered.
+  CallAttempt Attempt({.ContentDigest = "same"});
+  Attempt.start();
+  LedgerReply Reply;
+  Attempt.handle(Opened{Reply});
+  Attempt.handle(SlotChosen{.Endpoint = "e1", .Address = "127.0.0.1:1"});
+  Reply.set_standing(message::LEDGER_CLAIMED);
+  Reply.set_dispatch(1);
+  Attempt.handle(ClaimAnswered{Reply});
+  ASSERT_EQ(Attempt.state(), CallAttempt::State::Joining);
+  auto Effects = Attempt.handle(DeadlinePassed{});
+  ASSERT_EQ(Effects.size(), 2U);
+  EXPECT_EQ(std::get<Answer>(Effects[0]).Kind, AnswerKind::Unknown);
+  EXPECT_TRUE(std::holds_alternative<AskClose>(Effects[1]));
+}
--- a/Tests/LibLedger/TestLedger.cpp
+++ b/Tests/LibLedger/TestLedger.cpp
@@ -102,28 +102,29 @@
 /// A ledger with its log position.
 class Bench {
 public:
-  explicit Bench(LedgerLimits Limits = {}) : Limits(Limits), State(Limits) {}
+  explicit Bench(LedgerLimits Limits = {})
+      : Limits(Limits), State(std::make_unique<Ledger>(Limits)) {}
 
   LedgerReply apply(const LedgerCommand &Command) {
     LedgerReply Reply;
-    Reply.ParseFromString(this->State.apply(++this->Index, this->StampMs,
-                                            Command.SerializeAsString()));
+    Reply.ParseFromString(this->State->apply(++this->Index, this->StampMs,
+                                             Command.SerializeAsString()));
     return Reply;
   }
   message::LedgerStanding standing(const LedgerCommand &Command) {
     return this->apply(Command).standing();
   }
   [[nodiscard]] LedgerReply open(const Asking &Who) const {
-    return this->State.open(keyOf(Who.Key), Who.Digest, this->Index);
+    return this->State->open(keyOf(Who.Key), Who.Digest, this->Index);
   }
   void restart() {
-    Ledger Fresh(this->Limits);
-    Fresh.restore(this->State.snapshot());
-    this->State = std::move(Fresh);
+    std::string Bytes = this->State->snapshot();
+    this->State = std::make_unique<Ledger>(this->Limits);
+    this->State->restore(Bytes);
   }
 
   LedgerLimits Limits;
-  Ledger State;
+  std::unique_ptr<Ledger> State;
   std::uint64_t Index = 0;
   std::int64_t StampMs = Today;
 };
@@ -169,7 +170,7 @@
       } else {
         bool Free = !Key.Open && Key.Outcome.empty();
         bool Stands = Who.Ticket >= Key.ClosedAt &&
-                      Who.Ticket >= Bench.State.horizon() &&
+                      Who.Ticket >= Bench.State->horizon() &&
                       Who.Life >= Newest[Who.Host];
         RC_ASSERT(Granted == (Free && Stands));
         if (!Free && Who.Digest != Key.Digest)
@@ -233,7 +234,7 @@
     RC_ASSERT(Seen.standing() == Expected);
     if (Expected == message::LEDGER_ANSWERED)
       RC_ASSERT(Seen.outcome().body() == Key.Outcome);
-    RC_ASSERT(Bench.State.closedCount() <= 2U);
+    RC_ASSERT(Bench.State->closedCount() <= 2U);
   }
 }
 
@@ -250,7 +251,8 @@
   Bench Bench({.ClosedMarks = 1});
   Bench.apply(closeOf({.Key = "2026-12-01-a"}));
   Bench.apply(closeOf({.Key = "2026-12-01-b"}));
-  EXPECT_EQ(Bench.State.closedCount(), 1U);
+  EXPECT_EQ(Bench.State->closedCount(), 1U);
+  Bench.restart();
   EXPECT_EQ(Bench.standing(claimOf({.Key = "2026-12-01-a", .Ticket = 0})),
             message::LEDGER_TICKET_REFUSED);
   EXPECT_EQ(Bench.standing(claimOf({.Key = "2026-12-01-a", .Ticket = 1})),
@@ -263,7 +265,7 @@
   Bench.apply(recordOf({}, true));
   Bench.StampMs += 31 * DayMs;
   Bench.apply(pruneOf(30));
-  EXPECT_EQ(Bench.State.recordCount(), 0U);
+  EXPECT_EQ(Bench.State->recordCount(), 0U);
   Bench.restart();
   // Neither a longer retention nor another rule brings the key back.
   Asking Late{.Ticket = Bench.Index, .RetentionDays = 400};
@@ -291,7 +293,7 @@
             message::LEDGER_KEY_NO_ROOM);
   Bench.StampMs += 400 * DayMs;
   Bench.apply(pruneOf(30));
-  EXPECT_EQ(Bench.State.recordCount(), 2U);
+  EXPECT_EQ(Bench.State->recordCount(), 2U);
   EXPECT_EQ(Bench.open(Kept("2026-12-01-a")).standing(),
             message::LEDGER_CLAIMED);
 }
@@ -318,22 +320,34 @@
 }
 
 TEST(Ledger, LongBodiesAreKeptAsLengthOnly) {
-  Bench Bench({.BodyBytes = 8});
-  Bench.apply(claimOf({}));
-  Bench.apply(recordOf({}, true, "123456789"));
-  EXPECT_EQ(Bench.open({}).outcome().body(), "");
-  EXPECT_EQ(Bench.open({}).outcome().body_bytes(), 9U);
+  Bench Bench({.BodyBytes = 8, .BodyTotalBytes = 12});
+  auto BodyAfter = [&](std::string Key, std::string_view Body) {
+    Bench.apply(claimOf({.Key = Key}));
+    Bench.apply(recordOf({.Key = Key}, true, Body));
+    auto Outcome = Bench.open({.Key = Key}).outcome();
+    EXPECT_EQ(Outcome.body_bytes(), Body.size());
+    return Outcome.body();
+  };
+  EXPECT_EQ(BodyAfter("2026-12-01-a", "123456789"), "");
+  EXPECT_EQ(BodyAfter("2026-12-01-b", "12345678"), "12345678");
+  Bench.restart();
+  EXPECT_EQ(BodyAfter("2026-12-01-c", "12345"), "");
+  EXPECT_EQ(BodyAfter("2026-12-01-d", "1234"), "1234");
+  // Room comes back with what is forgotten.
+  Bench.StampMs += 32 * DayMs;
+  Bench.apply(pruneOf(30));
+  EXPECT_EQ(BodyAfter("2027-01-02-a", "12345678"), "12345678");
 }
 
 TEST(Ledger, DamagedBytesChangeNothing) {
   Bench Bench;
   Bench.apply(claimOf({}));
-  std::string Before = Bench.State.snapshot();
+  std::string Before = Bench.State->snapshot();
   LedgerReply Reply;
-  Reply.ParseFromString(Bench.State.apply(9, Today, "\xff\xff"));
+  Reply.ParseFromString(Bench.State->apply(9, Today, "\xff\xff"));
   EXPECT_EQ(Reply.standing(), message::LEDGER_MALFORMED);
-  EXPECT_THROW(Bench.State.restore("\xff\xff"), std::runtime_error);
-  EXPECT_EQ(Bench.State.snapshot(), Before);
+  EXPECT_THROW(Bench.State->restore("\xff\xff"), std::runtime_error);
+  EXPECT_EQ(Bench.State->snapshot(), Before);
 }
 
 TEST(Ledger, ShardsAreStableAndEven) {
