--- a/Libraries/LibLedger/Ledger.h
+++ b/Libraries/LibLedger/Ledger.h
@@ -15,6 +15,7 @@
 #ifndef LIBLEDGER_LEDGER_H
 #define LIBLEDGER_LEDGER_H
 
+#include <LibConsensus/StateMachine.h>
 #include <LibCore/Names.h>
 #include <LibLedger/KeyDate.h>
 #include <LibLedger/Ledger.pb.h>
@@ -48,7 +49,7 @@
 std::uint32_t ledgerShard(const message::LedgerKey &Key,
                           std::uint32_t ShardCount);
 
-class Ledger {
+class Ledger : public StateMachine {
 public:
   explicit Ledger(LedgerLimits Limits = {});
 
@@ -56,14 +57,14 @@
   /// the log's wall clock, which never decreases along the log. Returns a
   /// serialized LedgerReply; a command that cannot be decoded changes nothing.
   std::string apply(std::uint64_t Index, std::int64_t StampMs,
-                    std::string_view Command);
+                    std::string_view Command) override;
 
   /// The whole state; equal states give equal bytes.
-  [[nodiscard]] std::string snapshot() const;
+  [[nodiscard]] std::string snapshot() const override;
 
   /// Replaces the whole state. Throws std::runtime_error and changes nothing
   /// if \p Snapshot cannot be decoded.
-  void restore(std::string_view Snapshot);
+  void restore(std::string_view Snapshot) override;
 
   /// What stands at \p AppliedIndex, which must be the index this state was
   /// read at by a linearizable read. LEDGER_FREE makes reply.index a ticket.
--- a/Tests/LibLedger/TestCallAttempt.cpp
+++ b/Tests/LibLedger/TestCallAttempt.cpp
@@ -356,7 +356,7 @@
 
 TEST(CallAttempt, LeavesNoClaimBehind) {
   // A copy of its claim may be committed after the attempt was answered.
-  CallAttempt Attempt({.ContentDigest = "same"});
+  CallAttempt Attempt(CallAttemptOptions{});
   Attempt.start();
   LedgerReply Reply;
   Attempt.handle(Opened{Reply});
--- a/Tests/ScenarioLanguage/TestScenario.cpp
+++ b/Tests/ScenarioLanguage/TestScenario.cpp
@@ -82,3 +82,12 @@
       EXPECT_NE(Report.find(Part), std::string::npos) << Each.Text << Report;
   }
 }
+
+TEST(Scenario, EveryFileBelongsToAWorld) {
+  std::filesystem::path Folder =
+      std::filesystem::path(CAROBHINGE_SOURCE_FOLDER) / "Tests/Scenarios";
+  for (const auto &Each : std::filesystem::directory_iterator(Folder)) {
+    std::string Name = Each.path().filename().string();
+    EXPECT_TRUE(Name.starts_with("State") || Name.starts_with("Fleet")) << Name;
+  }
+}
--- /dev/null
+++ b/Tests/StateScenarios/TestStateScenarios.cpp
@@ -0,0 +1,17 @@
+//===- Tests/StateScenarios/TestStateScenarios.cpp - State*.scenario ------===//
+///
+/// \file
+/// Runs the scenarios of the state that must survive.
+///
+//===----------------------------------------------------------------------===//
+
+#include <Scenario/Runner.h>
+#include <State/StateWorld.h>
+
+using namespace carobhinge;
+
+static const bool Registered = scenario::registerScenarios(
+    std::filesystem::path(CAROBHINGE_SOURCE_FOLDER) / "Tests/Scenarios",
+    "State", [](std::uint64_t Seed) {
+      return std::make_unique<state::StateWorld>(Seed);
+    });
