Matrix: List cells beyond what can hold apart, and ask for every answer

The one failing cell lost the disks of all three voters within 120 ms, after which a new, empty log is formed: two leaders of term 1, of two logs. That is no fault that the log could bear, so such a cell is printed and counts neither as held nor as failed. Every call must now be answered in the end.

--- a/Tests/Matrix/Matrix.cpp
+++ b/Tests/Matrix/Matrix.cpp
@@ -146,6 +146,10 @@
 
   void note(const Cell &Tried, const Observation &Seen) {
     std::lock_guard<std::mutex> Guard(this->Lock);
+    if (Seen.Beyond) {
+      this->Beyond.push_back(Tried.name());
+      return;
+    }
     bool Pair = Tried.Faults.size() > 1;
     std::string Kind = std::string(Tried.Work->name()) +
                        (Pair ? " faults=pairs" : " fault=") +
@@ -167,6 +171,8 @@
     std::ranges::sort(this->Reds);
     for (const std::string &Each : this->Reds)
       std::printf("%s\n", Each.c_str());
+    for (const std::string &Each : this->Beyond)
+      std::printf("matrix: beyond what can hold: %s\n", Each.c_str());
     Count All;
     for (const auto &[Kind, Counted] : this->Counts) {
       std::printf("matrix: script=%s cells=%zu held=%zu\n", Kind.c_str(),
@@ -186,6 +192,7 @@
   std::mutex Lock;
   std::map<std::string, Count> Counts;
   std::vector<std::string> Reds;
+  std::vector<std::string> Beyond;
   std::size_t Known = 0;
   std::size_t Failed = 0;
 };
--- a/Tests/Matrix/Script.h
+++ b/Tests/Matrix/Script.h
@@ -32,6 +32,9 @@
   std::size_t Points = 0;
   /// The first broken invariant, or what did not recover afterwards.
   std::optional<std::string> Broken;
+  /// The faults left nothing that could hold, such as the loss of every disk.
+  /// The cell is listed apart and counts neither as held nor as failed.
+  bool Beyond = false;
 };
 
 class Script {
--- a/Tests/Matrix/StateScripts.cpp
+++ b/Tests/Matrix/StateScripts.cpp
@@ -95,16 +95,22 @@
         this->World.restart(Host);
     // More lost disks than a quorum bears end the log; what must hold still
     // holds, but nothing comes back.
-    if (this->DisksLost > 1)
+    if (this->DisksLost.size() > 1)
       return;
     this->pass(seconds(2));
     this->await("cluster expect leader", seconds(20));
     this->await("cluster expect repaired", seconds(30));
     this->say("a2 call fresh key=2026-12-01-fresh");
     this->await("fresh expect answered", seconds(6));
+    for (const auto &[Name, Told] : this->World.truth().Stories)
+      if (Told.Result == "open" && !this->Seen.Broken)
+        this->Seen.Broken = Name + " was never answered";
   }
 
-  void diskLost() { ++this->DisksLost; }
+  void loseDisk(const HostName &Host) {
+    this->World.loseDisk(Host);
+    this->diskLost(Host);
+  }
   [[nodiscard]] Observation result() { return this->Seen; }
 
 private:
@@ -148,7 +154,7 @@
       return true;
     }
     if (Fault == "lose-disk") {
-      this->DisksLost += Host == "a2" || Host == "b2" ? 0 : 1;
+      this->diskLost(Host);
       this->later(Flicker, [this, Host] {
         this->World.loseDisk(Host);
         this->World.restart(Host);
@@ -167,6 +173,14 @@
     return false;
   }
 
+  void diskLost(const HostName &Host) {
+    constexpr std::size_t Voters = 3;
+    if (Host != "a2" && Host != "b2")
+      this->DisksLost.insert(Host);
+    // With every copy gone a new, empty log comes into being.
+    this->Seen.Beyond = this->DisksLost.size() == Voters;
+  }
+
   void strikeLinks(std::string_view Fault, const HostName &Host) {
     LinkFaults Link;
     Link.Cut = Fault == "cut";
@@ -196,7 +210,7 @@
   std::span<const Injection> Wanted;
   Observation Seen;
   bool Armed = false;
-  int DisksLost = 0;
+  std::set<HostName> DisksLost;
   Duration Elapsed{};
   std::vector<Ending> Endings;
 };
@@ -264,8 +278,7 @@
 void voterRepair(Cell &Tried) {
   Tried.say("a2 call warm key=2026-12-01-w");
   Tried.await("warm expect answered", seconds(5));
-  Tried.say("c1 lose-disk");
-  Tried.diskLost();
+  Tried.loseDisk("c1");
   Tried.pass(seconds(2));
   Tried.arm(true);
   Tried.say("c1 restart");
