LibFleet: Keep the directory's targets const

The drivers ask for targets through a const member; the remembered dealing is a cache and changes nothing that can be seen.

--- a/Libraries/LibFleet/EndpointDirectory.cpp
+++ b/Libraries/LibFleet/EndpointDirectory.cpp
@@ -118,8 +118,8 @@
   return Heard->Said.Place == Expected ? Heard : nullptr;
 }
 
-std::optional<Target> EndpointDirectory::groupTarget(TimePoint Now,
-                                                     const RosterGroup &Group) {
+std::optional<Target>
+EndpointDirectory::groupTarget(TimePoint Now, const RosterGroup &Group) const {
   if (Group.Members.empty() || (Group.State != GroupState::Serving &&
                                 Group.State != GroupState::Draining))
     return std::nullopt;
@@ -140,7 +140,7 @@
 
 std::optional<Target>
 EndpointDirectory::endpointTarget(TimePoint Now,
-                                  const HeardAnnouncement &Heard) {
+                                  const HeardAnnouncement &Heard) const {
   Summary Alone;
   if (!this->addMember(Now, Heard, Alone))
     return std::nullopt;
@@ -151,7 +151,7 @@
 Target EndpointDirectory::makeTarget(TimePoint Now, std::string Name,
                                      Incarnation Life,
                                      const HeardAnnouncement &Front,
-                                     const Summary &Members) {
+                                     const Summary &Members) const {
   Target Result;
   Result.Name = std::move(Name);
   Result.Service = Front.Said.Service;
@@ -173,7 +173,7 @@
 
 std::uint32_t EndpointDirectory::slots(TimePoint Now, const Target &For,
                                        const HeardAnnouncement &Front,
-                                       const Summary &Members) {
+                                       const Summary &Members) const {
   std::uint32_t Limit = Front.Said.BatchLimit;
   if (!For.WarmingUp)
     return this->WarmShare.share(Now, For.Name, For.Life, Limit);
@@ -188,8 +188,8 @@
   return this->Share.share(Now, For.Name, For.Life, Budget);
 }
 
-std::vector<Target> EndpointDirectory::targets(TimePoint Now,
-                                               const ServiceName &Service) {
+std::vector<Target>
+EndpointDirectory::targets(TimePoint Now, const ServiceName &Service) const {
   std::vector<Target> Result;
   auto Wanted = this->Intent.Services.find(Service);
   if (Wanted == this->Intent.Services.end())
--- a/Libraries/LibFleet/EndpointDirectory.h
+++ b/Libraries/LibFleet/EndpointDirectory.h
@@ -62,7 +62,8 @@
   /// Expires announcements and judges stragglers. To be called once a second.
   void tick(TimePoint Now);
 
-  std::vector<Target> targets(TimePoint Now, const ServiceName &Service);
+  [[nodiscard]] std::vector<Target> targets(TimePoint Now,
+                                            const ServiceName &Service) const;
   [[nodiscard]] const Roster &roster() const { return this->Groups; }
   [[nodiscard]] const AnnouncementTable &announcements() const {
     return this->Table;
@@ -82,13 +83,16 @@
                  Summary &Into) const;
   const HeardAnnouncement *freshMember(TimePoint Now, const RosterGroup &Group,
                                        std::uint32_t Rank) const;
-  std::optional<Target> groupTarget(TimePoint Now, const RosterGroup &Group);
+  std::optional<Target> groupTarget(TimePoint Now,
+                                    const RosterGroup &Group) const;
   std::optional<Target> endpointTarget(TimePoint Now,
-                                       const HeardAnnouncement &Heard);
+                                       const HeardAnnouncement &Heard) const;
   Target makeTarget(TimePoint Now, std::string Name, Incarnation Life,
-                    const HeardAnnouncement &Front, const Summary &Members);
+                    const HeardAnnouncement &Front,
+                    const Summary &Members) const;
   std::uint32_t slots(TimePoint Now, const Target &For,
-                      const HeardAnnouncement &Front, const Summary &Members);
+                      const HeardAnnouncement &Front,
+                      const Summary &Members) const;
 
   DirectoryOptions Options;
   FleetIntent Intent;
--- a/Libraries/LibFleet/WarmUpShare.cpp
+++ b/Libraries/LibFleet/WarmUpShare.cpp
@@ -49,11 +49,6 @@
   });
 }
 
-static bool isListed(const HostName &Self,
-                     std::span<const HostName> EntryHosts) {
-  return std::ranges::find(EntryHosts, Self) != EntryHosts.end();
-}
-
 WarmUpShare::WarmUpShare(HostName Self, std::vector<HostName> EntryHosts,
                          Duration Overlap)
     : Self(std::move(Self)), Overlap(Overlap), Current(std::move(EntryHosts)) {}
@@ -62,44 +57,55 @@
                                     std::vector<HostName> EntryHosts) {
   if (EntryHosts == this->Current)
     return;
+  std::erase_if(this->Earlier, [this, Now](const Replaced &List) {
+    return this->isOver(Now, List);
+  });
   this->Earlier.push_back({.EntryHosts = std::move(this->Current), .At = Now});
   this->Current = std::move(EntryHosts);
   this->Cache.clear();
 }
 
-std::uint32_t WarmUpShare::deal(std::string_view Target, Incarnation Life,
-                                std::uint32_t Budget) const {
-  if (!isListed(this->Self, this->Current) ||
-      !std::ranges::all_of(this->Earlier, [this](const Replaced &List) {
-        return isListed(this->Self, List.EntryHosts);
-      }))
+bool WarmUpShare::isOver(TimePoint Now, const Replaced &List) const {
+  return Now - List.At >= this->Overlap;
+}
+
+std::uint32_t WarmUpShare::deal(TimePoint Now, std::string_view Target,
+                                Incarnation Life, std::uint32_t Budget) const {
+  std::vector<std::span<const HostName>> Lists = {this->Current};
+  for (const Replaced &List : this->Earlier)
+    if (!this->isOver(Now, List))
+      Lists.emplace_back(List.EntryHosts);
+  auto IsListed = [this](std::span<const HostName> List) {
+    return std::ranges::find(List, this->Self) != List.end();
+  };
+  if (!std::ranges::all_of(Lists, IsListed))
     return 0;
   std::uint64_t TargetHash = hash64(Target, Life);
   std::uint32_t Result = 0;
   for (std::uint32_t Slot = 0; Slot < Budget; ++Slot) {
     std::uint64_t Seed = slotSeed(TargetHash, Slot);
-    bool Ours = isDealtTo(this->Self, Seed, this->Current) &&
-                std::ranges::all_of(this->Earlier, [&](const Replaced &List) {
-                  return isDealtTo(this->Self, Seed, List.EntryHosts);
-                });
+    bool Ours = std::ranges::all_of(Lists, [this, Seed](const auto &List) {
+      return isDealtTo(this->Self, Seed, List);
+    });
     Result += Ours ? 1 : 0;
   }
   return Result;
 }
 
 std::uint32_t WarmUpShare::share(TimePoint Now, const std::string &Target,
-                                 Incarnation Life, std::uint32_t Budget) {
-  auto IsOver = [this, Now](const Replaced &List) {
-    return Now - List.At >= this->Overlap;
-  };
-  if (std::erase_if(this->Earlier, IsOver) > 0 ||
-      this->Cache.size() > MostCached)
+                                 Incarnation Life, std::uint32_t Budget) const {
+  bool Changing = std::ranges::any_of(this->Earlier, [&](const Replaced &List) {
+    return !this->isOver(Now, List);
+  });
+  if (Changing)
+    return this->deal(Now, Target, Life, Budget);
+  if (this->Cache.size() > MostCached)
     this->Cache.clear();
   Dealt &Known = this->Cache[Target];
   if (Known.Life != Life || Known.Budget != Budget)
     Known = {.Life = Life,
              .Budget = Budget,
-             .Slots = this->deal(Target, Life, Budget)};
+             .Slots = this->deal(Now, Target, Life, Budget)};
   return Known.Slots;
 }
 
--- a/Libraries/LibFleet/WarmUpShare.h
+++ b/Libraries/LibFleet/WarmUpShare.h
@@ -50,7 +50,7 @@
 
   /// How many of \p Budget slots of the target fall to this entry host.
   std::uint32_t share(TimePoint Now, const std::string &Target,
-                      Incarnation Life, std::uint32_t Budget);
+                      Incarnation Life, std::uint32_t Budget) const;
 
 private:
   struct Replaced {
@@ -64,7 +64,9 @@
     std::uint32_t Slots = 0;
   };
 
-  [[nodiscard]] std::uint32_t deal(std::string_view Target, Incarnation Life,
+  [[nodiscard]] bool isOver(TimePoint Now, const Replaced &List) const;
+  [[nodiscard]] std::uint32_t deal(TimePoint Now, std::string_view Target,
+                                   Incarnation Life,
                                    std::uint32_t Budget) const;
 
   HostName Self;
@@ -72,7 +74,8 @@
   std::vector<HostName> Current;
   /// Lists that were replaced less than Overlap ago.
   std::vector<Replaced> Earlier;
-  std::unordered_map<std::string, Dealt> Cache;
+  /// Results for the current list alone.
+  mutable std::unordered_map<std::string, Dealt> Cache;
 };
 
 } // namespace carobhinge
