LibRouting: Count spare slots by the turns they take between summaries

Cause: with plain services a failure domain that was out refused what its neighbours could have served. The allowance was so many requests for each summary as slots were spare, but a slot with calls of a tenth of a second serves five between two summaries.

Ruled out: the neighbours' queues (nothing was refused there but for the allowance of their summaries being used up at the origin).

The change: a summary carries the mean time on a slot, and the allowance grows with the turns that the spare slots have taken since it came.

ShortRequestsUseASpareSlotManyTimes states the rule.

--- a/Benchmarks/RoutingSimulation.cpp
+++ b/Benchmarks/RoutingSimulation.cpp
@@ -279,6 +279,7 @@
     DomainSummary &Sum = Summaries[Host / EntryHostsPerDomain];
     One.SpareSlots += Sum.SpareSlots;
     One.Queued += Sum.Queued;
+    One.SlotTime = std::max(One.SlotTime, Sum.SlotTime);
     Sum = One;
   }
   this->later(ReportLagSeconds, [this, Summaries] {
--- a/Libraries/LibRouting/DomainSummary.h
+++ b/Libraries/LibRouting/DomainSummary.h
@@ -21,6 +21,8 @@
   /// entry host counts its own slots; the driver adds up those of a domain.
   std::uint32_t SpareSlots = 0;
   std::uint32_t Queued = 0;
+  /// Mean time for which a request holds a slot; zero while it is not known.
+  Duration SlotTime = {};
   /// Takes no forwarded requests.
   bool Out = false;
   /// One way, from the receiving host; nearer domains are preferred.
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -284,6 +284,7 @@
       .Service = this->Options.Service,
       .SpareSlots = static_cast<std::uint32_t>(Spare),
       .Queued = static_cast<std::uint32_t>(this->Queue->size()),
+      .SlotTime = this->TimesOfAll.mean(),
       .Out = this->IsDraining || this->Board.usableSlots() == 0};
 }
 
--- a/Libraries/LibRouting/RouterOptions.h
+++ b/Libraries/LibRouting/RouterOptions.h
@@ -57,8 +57,9 @@
   double BudgetBurst = 10;
   /// A summary older than this promises nothing.
   Duration SummaryLifetime = 3s;
-  /// Share of a neighbour's spare slots that this entry host may fill between
-  /// two summaries; other hosts see the same spare slots.
+  /// Share of a neighbour's spare slots that this entry host may fill. Others
+  /// see the same spare slots: one over the number of entry hosts of a failure
+  /// domain is safe.
   double SpareShare = 0.5;
   /// A neighbour that returns gets its full share only after this long.
   Duration SlowStart = 20s;
--- a/Libraries/LibRouting/ServiceTimes.cpp
+++ b/Libraries/LibRouting/ServiceTimes.cpp
@@ -63,6 +63,10 @@
   this->LastSample = Now;
 }
 
+Duration ServiceTimes::mean() const {
+  return fromSeconds(this->SecondsPerCost);
+}
+
 Duration ServiceTimes::expected(TimePoint Now, std::uint32_t Cost) const {
   if (this->Samples == 0)
     return Duration::zero();
--- a/Libraries/LibRouting/ServiceTimes.h
+++ b/Libraries/LibRouting/ServiceTimes.h
@@ -44,6 +44,9 @@
   /// the estimate fades, so that refusals made from it cannot keep it alive.
   [[nodiscard]] Duration expected(TimePoint Now, std::uint32_t Cost) const;
 
+  /// Mean time on a slot for a cost of one, however old.
+  [[nodiscard]] Duration mean() const;
+
   [[nodiscard]] const RecentTimes &firstBytes() const {
     return this->FirstBytes;
   }
--- a/Libraries/LibRouting/Spillover.cpp
+++ b/Libraries/LibRouting/Spillover.cpp
@@ -84,7 +84,12 @@
   double Ramp =
       static_cast<double>((Now - Each.InSince).count()) /
       static_cast<double>(std::max<std::int64_t>(1, this->SlowStart.count()));
-  return std::min(1.0, Ramp) * this->Share * Each.Summary.SpareSlots;
+  // A slot serves many short requests before the next summary comes.
+  double Turns = 1;
+  if (Each.Summary.SlotTime > Duration::zero())
+    Turns += static_cast<double>((Now - Each.Summary.ReceivedAt).count()) /
+             static_cast<double>(Each.Summary.SlotTime.count());
+  return std::min(1.0, Ramp) * this->Share * Each.Summary.SpareSlots * Turns;
 }
 
 std::optional<FailureDomainName> SpareCapacity::choose(TimePoint Now) {
--- a/Tests/LibRouting/TestPolicies.cpp
+++ b/Tests/LibRouting/TestPolicies.cpp
@@ -188,6 +188,15 @@
   EXPECT_EQ(forwarded(*Spill, Noon + 9s), 0U);
 }
 
+TEST(Spillover, ShortRequestsUseASpareSlotManyTimes) {
+  auto Spill = makeSpillover({.SpareShare = 0.5});
+  DomainSummary Summary = neighbour("near", 4, Noon);
+  Summary.SlotTime = 100ms;
+  Spill->neighboursChanged(Noon, std::vector{Summary});
+  EXPECT_EQ(forwarded(*Spill, Noon), 2U);
+  EXPECT_EQ(forwarded(*Spill, Noon + 500ms), 10U);
+}
+
 TEST(Spillover, ANeighbourThatReturnsStartsSlowly) {
   auto Spill = makeSpillover({.SpareShare = 1, .SlowStart = 20s});
   DomainSummary Summary = neighbour("near", 40, Noon);
