LibRouting: Find stragglers by the peers' mean, and date others' work

Stragglers: with affinity on, an engine at a quarter of its speed was not found any more. First bytes come early or late as the prefix was cached or not, so that their median jumps between the two and the mean logarithm of a straggler's ratio to it stays under the bound. The ratio is now taken to the geometric mean of the class, smoothed, with bounded steps.

Others' work: the last report was compared with what is outstanding now, so that each request sent since then was taken for one of the report's, and targets with equal reports were chosen from at random. It is now compared with what was outstanding when the report came. Seen red first: after equal reports 500 requests on 50 targets put 20 on one, bound 17 (AffinityKeepsAPrefixTogetherUpToTheLoadBound).

Also: a hedge no longer asks whether requests wait, as no target is open then (removing the question turned no test red).

--- a/Benchmarks/RoutingTrials.cpp
+++ b/Benchmarks/RoutingTrials.cpp
@@ -296,7 +296,7 @@
       {.Name = "stragglers",
        .Plan = {.Event = slowEngines},
        .Baseline = {.Stragglers = "none"},
-       .Measures = {total95(), firstByte95(), goodput()}},
+       .Measures = {total95(), firstByte95(), firstByte99(), lateShare()}},
       {.Name = "hedges",
        .Plan = {.Load = 0.6, .Event = pauseEngines},
        .Baseline = {.Hedges = "none"},
--- a/Libraries/LibRouting/Router.h
+++ b/Libraries/LibRouting/Router.h
@@ -115,7 +115,7 @@
                    AttemptOutcome Outcome);
   void sampleFirstByte(TimePoint Now, const RunningAttempt &Attempt);
   void judgeHealth(const RunningAttempt &Attempt, Duration Time,
-                   Duration Median);
+                   Duration Typical);
   void refuse(TimePoint Now, LiveEntry Entry, RefusalReason Reason,
               std::optional<Duration> RetryAfter = std::nullopt);
   /// Forwards the request if it never went out and a neighbour takes it.
--- a/Libraries/LibRouting/RouterAttempts.cpp
+++ b/Libraries/LibRouting/RouterAttempts.cpp
@@ -77,8 +77,8 @@
   assert(Live.Request.Idempotent && !Live.Answered);
   auto InUse = static_cast<double>(this->Board.outstanding());
   auto Slots = static_cast<double>(this->Board.usableSlots());
-  if (Live.Attempts.size() != 1 || this->Queue->size() != 0 ||
-      InUse > HedgeLoad * Slots)
+  // While requests wait no target is open, so that a hedge takes no turn.
+  if (Live.Attempts.size() != 1 || InUse > HedgeLoad * Slots)
     return;
   TargetIndex First = this->Running.at(Live.Attempts[0]).Where;
   // Without the prefix: the affine target is most likely the late one.
@@ -107,17 +107,17 @@
 /// Takes the time to the first byte, or to a Complete without one.
 void Router::sampleFirstByte(TimePoint Now, const RunningAttempt &Attempt) {
   Duration Time = Now - Attempt.StartedAt;
-  std::optional<Duration> Median = Attempt.Times->firstBytes().quantile(0.5);
+  std::optional<Duration> Typical = Attempt.Times->typicalFirstByte();
   Attempt.Times->addFirstByte(Time);
-  if (Median)
-    this->judgeHealth(Attempt, Time, *Median);
+  if (Typical)
+    this->judgeHealth(Attempt, Time, *Typical);
 }
 
 void Router::judgeHealth(const RunningAttempt &Attempt, Duration Time,
-                         Duration Median) {
+                         Duration Typical) {
   const TargetState &State = this->Board[Attempt.Where];
   double Ratio = static_cast<double>(std::max(Time, Duration(1)).count()) /
-                 static_cast<double>(std::max(Median, Duration(1)).count());
+                 static_cast<double>(std::max(Typical, Duration(1)).count());
   if (!State.Gone)
     this->Board.setHealth(Attempt.Where,
                           this->Stragglers->judge(State.Health, Ratio));
@@ -170,9 +170,9 @@
   case AttemptResult::Cancelled: {
     // An answer that had not come when it was no longer wanted shows a slow
     // target if it is late, and nothing if it is not.
-    std::optional<Duration> Median = Attempt.Times->firstBytes().quantile(0.5);
-    if (!Attempt.FirstByteSeen && Median && Time > *Median)
-      this->judgeHealth(Attempt, Time, *Median);
+    std::optional<Duration> Typical = Attempt.Times->typicalFirstByte();
+    if (!Attempt.FirstByteSeen && Typical && Time > *Typical)
+      this->judgeHealth(Attempt, Time, *Typical);
     return;
   }
   case AttemptResult::Overloaded:
--- a/Libraries/LibRouting/RouterOptions.h
+++ b/Libraries/LibRouting/RouterOptions.h
@@ -34,8 +34,8 @@
   std::string Retries = "budgeted";
   /// "budgeted"; baseline "none".
   std::string Hedges = "budgeted";
-  /// "peer-median"; baseline "none".
-  std::string Stragglers = "peer-median";
+  /// "peer-mean"; baseline "none".
+  std::string Stragglers = "peer-mean";
   /// "spare-capacity"; baseline "none".
   std::string Spillover = "spare-capacity";
 };
--- a/Libraries/LibRouting/ServiceTimes.cpp
+++ b/Libraries/LibRouting/ServiceTimes.cpp
@@ -17,6 +17,10 @@
 
 /// Weight of one sample in the mean once enough have come.
 static constexpr double Smoothing = 0.02;
+/// Nothing is judged from fewer samples.
+static constexpr std::uint64_t LeastSamples = 20;
+/// An outlier counts as at most e^2, about seven times, the typical time.
+static constexpr double MostLogarithmStep = 2;
 /// Without samples the estimate halves in this time.
 static constexpr std::chrono::seconds HalfLife{10};
 
@@ -43,7 +47,7 @@
 }
 
 std::optional<Duration> RecentTimes::quantile(double Fraction) const {
-  if (this->Total < LeastSamples)
+  if (this->Total < static_cast<double>(LeastSamples))
     return std::nullopt;
   double Wanted = Fraction * this->Total;
   double Seen = 0;
@@ -63,6 +67,24 @@
   this->LastSample = Now;
 }
 
+void ServiceTimes::addFirstByte(Duration Time) {
+  this->FirstBytes.add(Time);
+  ++this->FirstByteSamples;
+  double Logarithm = std::log(std::max(seconds(Time), LeastSeconds));
+  double Step = Logarithm - this->FirstByteLogarithm;
+  double Weight =
+      std::max(Smoothing, 1.0 / static_cast<double>(this->FirstByteSamples));
+  if (this->FirstByteSamples > LeastSamples)
+    Step = std::clamp(Step, -MostLogarithmStep, MostLogarithmStep);
+  this->FirstByteLogarithm += Weight * Step;
+}
+
+std::optional<Duration> ServiceTimes::typicalFirstByte() const {
+  if (this->FirstByteSamples < LeastSamples)
+    return std::nullopt;
+  return fromSeconds(std::exp(this->FirstByteLogarithm));
+}
+
 Duration ServiceTimes::mean() const {
   return fromSeconds(this->SecondsPerCost);
 }
--- a/Libraries/LibRouting/ServiceTimes.h
+++ b/Libraries/LibRouting/ServiceTimes.h
@@ -21,11 +21,10 @@
 class RecentTimes {
 public:
   void add(Duration Time);
-  /// The upper edge of the bucket; nothing before LeastSamples have come.
+  /// The upper edge of the bucket; nothing before enough samples came.
   [[nodiscard]] std::optional<Duration> quantile(double Fraction) const;
 
 private:
-  static constexpr double LeastSamples = 20;
   /// Counts are halved at this total, so that old samples fade.
   static constexpr double FullCount = 2000;
   static constexpr std::size_t Buckets = 216;
@@ -38,7 +37,7 @@
 public:
   /// A request of \p Cost held its slot for \p Time.
   void addSlotTime(TimePoint Now, Duration Time, std::uint32_t Cost);
-  void addFirstByte(Duration Time) { this->FirstBytes.add(Time); }
+  void addFirstByte(Duration Time);
 
   /// Expected time on a slot; zero while nothing is known. Without new samples
   /// the estimate fades, so that refusals made from it cannot keep it alive.
@@ -47,6 +46,10 @@
   /// Mean time on a slot for a cost of one, however old.
   [[nodiscard]] Duration mean() const;
 
+  /// The geometric mean of recent times to the first byte; nothing before
+  /// enough have come. Few outliers, however slow, hardly move it.
+  [[nodiscard]] std::optional<Duration> typicalFirstByte() const;
+
   [[nodiscard]] const RecentTimes &firstBytes() const {
     return this->FirstBytes;
   }
@@ -57,6 +60,9 @@
   std::uint64_t Samples = 0;
   TimePoint LastSample;
   RecentTimes FirstBytes;
+  /// Smoothed natural logarithm of the seconds to the first byte.
+  double FirstByteLogarithm = 0;
+  std::uint64_t FirstByteSamples = 0;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibRouting/StragglerPolicy.cpp
+++ b/Libraries/LibRouting/StragglerPolicy.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-class PeerMedian final : public StragglerPolicy {
+class PeerMean final : public StragglerPolicy {
 public:
   [[nodiscard]] TargetHealth judge(TargetHealth Health,
                                    double Ratio) const override {
@@ -31,7 +31,7 @@
   }
 
 private:
-  /// One answer counts as at most e^1.4, about four times, the median.
+  /// One answer counts as at most e^1.4, about four times, the mean.
   static constexpr double MostLogRatio = 1.4;
   /// A step of Smoothing * MostLogRatio is less than log(SlowRatio), and less
   /// than the way from log(SlowRatio) back to log(WellRatio).
@@ -51,8 +51,8 @@
 } // namespace
 
 std::unique_ptr<StragglerPolicy> makeStragglerPolicy(std::string_view Name) {
-  if (Name == "peer-median")
-    return std::make_unique<PeerMedian>();
+  if (Name == "peer-mean")
+    return std::make_unique<PeerMean>();
   if (Name == "none")
     return std::make_unique<NoStragglers>();
   throw std::invalid_argument("no straggler policy named " + std::string(Name));
--- a/Libraries/LibRouting/StragglerPolicy.h
+++ b/Libraries/LibRouting/StragglerPolicy.h
@@ -1,8 +1,10 @@
 //===- LibRouting/StragglerPolicy.h - Targets slower than their peers -----===//
 ///
 /// \file
-/// Judges a target by the time to its first bytes, against the median of all
-/// targets for the same class of requests.
+/// Judges a target by the time to its first bytes, against the geometric mean
+/// over all targets for the same class of requests. The mean, not the median:
+/// first bytes come early or late as the prefix was cached or not, and the
+/// median jumps between the two.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -18,12 +20,12 @@
 public:
   virtual ~StragglerPolicy() = default;
 
-  /// The health after an answer that took \p Ratio times the peers' median.
+  /// The health after an answer that took \p Ratio times the peers' mean.
   [[nodiscard]] virtual TargetHealth judge(TargetHealth Health,
                                            double Ratio) const = 0;
 };
 
-/// "peer-median", or "none" as the baseline. Throws std::invalid_argument for
+/// "peer-mean", or "none" as the baseline. Throws std::invalid_argument for
 /// another name.
 std::unique_ptr<StragglerPolicy> makeStragglerPolicy(std::string_view Name);
 
--- a/Libraries/LibRouting/TargetBoard.cpp
+++ b/Libraries/LibRouting/TargetBoard.cpp
@@ -102,6 +102,8 @@
       ++this->Membership;
       ++this->Listed;
     }
+    if (State.Info.Load != Info.Load || Found == this->ByLife.end())
+      takeReport(State, Info.Load);
     State.Info = Info;
     this->refresh(Index);
     Listed[Index] = true;
@@ -111,14 +113,20 @@
       this->retire(Index);
 }
 
+void TargetBoard::takeReport(TargetState &State, const ReportedLoad &Load) {
+  std::uint32_t Reported = Load.Running + Load.Queued;
+  State.Info.Load = Load;
+  State.WorkOfOthers = Reported - std::min(Reported, State.Outstanding);
+}
+
 void TargetBoard::reportLoad(std::string_view Name, Incarnation Life,
                              const ReportedLoad &Load) {
   auto Found = this->ByLife.find(keyOf(Name, Life));
   if (Found == this->ByLife.end())
     return;
-  ReportedLoad &Known = this->States[Found->second].Info.Load;
-  if (Load.ReceivedAt >= Known.ReceivedAt)
-    Known = Load;
+  TargetState &State = this->States[Found->second];
+  if (Load.ReceivedAt >= State.Info.Load.ReceivedAt)
+    takeReport(State, Load);
 }
 
 void TargetBoard::take(TargetIndex Index) {
--- a/Libraries/LibRouting/TargetBoard.h
+++ b/Libraries/LibRouting/TargetBoard.h
@@ -24,7 +24,7 @@
 
 /// How a target's answers compare with those of its peers.
 struct TargetHealth {
-  /// Smoothed natural logarithm of (time to first byte / median of the peers).
+  /// Smoothed natural logarithm of (time to first byte / mean of the peers).
   double Slowness = 0;
   std::uint32_t Samples = 0;
   bool Straggler = false;
@@ -35,6 +35,9 @@
   /// Requests that were dispatched here and have not finished. Never above
   /// SlotLimit when one is added; it may be above after the limit fell.
   std::uint32_t Outstanding = 0;
+  /// What the last report counted beyond Outstanding when it came: the work
+  /// of other entry hosts, as long as the report is fresh.
+  std::uint32_t WorkOfOthers = 0;
   TargetHealth Health;
   /// Failures since the last success.
   std::uint32_t Failures = 0;
@@ -92,6 +95,7 @@
   [[nodiscard]] std::uint64_t membership() const { return this->Membership; }
 
 private:
+  static void takeReport(TargetState &State, const ReportedLoad &Load);
   TargetIndex add(const Target &Info);
   void refresh(TargetIndex Index);
   void retire(TargetIndex Index);
--- a/Libraries/LibRouting/TargetChoice.cpp
+++ b/Libraries/LibRouting/TargetChoice.cpp
@@ -29,14 +29,12 @@
 
 /// What others have running at the target, weighted by the report's age.
 static double workOfOthers(TimePoint Now, const TargetState &State) {
-  const ReportedLoad &Load = State.Info.Load;
-  std::uint32_t Reported = Load.Running + Load.Queued;
-  Duration Age = Now - Load.ReceivedAt;
-  if (Reported <= State.Outstanding || Age >= ReportLifetime)
+  Duration Age = Now - State.Info.Load.ReceivedAt;
+  if (Age >= ReportLifetime)
     return 0;
   double Freshness = 1 - static_cast<double>(Age.count()) /
                              static_cast<double>(ReportLifetime.count());
-  return Freshness * (Reported - State.Outstanding);
+  return Freshness * State.WorkOfOthers;
 }
 
 /// The part of its slots in use from here with one more request. What others
--- a/Tests/LibRouting/RouterWorld.h
+++ b/Tests/LibRouting/RouterWorld.h
@@ -37,6 +37,7 @@
   /// Turns the clock and ticks at each timer on the way.
   void advance(Duration Step);
 
+  [[nodiscard]] RouterStatus status() const { return this->Subject.status(); }
   /// Running attempts, cancelled ones among them, oldest first.
   [[nodiscard]] std::vector<AttemptId> running() const;
   [[nodiscard]] std::string whereIs(AttemptId Attempt) const;
--- a/Tests/LibRouting/TestPolicies.cpp
+++ b/Tests/LibRouting/TestPolicies.cpp
@@ -54,6 +54,7 @@
   std::vector<Target> Targets = engines(2, 100);
   Targets[0].Load = {.Running = 80, .ReceivedAt = Noon};
   Board.replace(Targets);
+  Board.reportLoad("engine-0", 1, {.ReceivedAt = Noon - 1s});
   auto Choice = choiceNamed("two-choices");
   std::map<TimePoint, unsigned> Busy;
   for (TimePoint Now : {Noon, Noon + 10s})
@@ -80,6 +81,15 @@
     Used.insert(Where);
   }
   EXPECT_EQ(Used.size(), 1U);
+  // What other entry hosts send there does not end it.
+  for (const Target &Each : engines(50, 20))
+    Board.reportLoad(Each.Name, Each.Life,
+                     {.Running = 30, .Queued = 0, .ReceivedAt = Noon});
+  EXPECT_EQ(Choice->choose(Noon, Board, {.PrefixHash = 42}), *Used.begin());
+  // A straggler is left out.
+  Board.setHealth(*Used.begin(), {.Straggler = true});
+  EXPECT_NE(Choice->choose(Noon, Board, {.PrefixHash = 42}), *Used.begin());
+  Board.setHealth(*Used.begin(), {});
   // Even if all requests have the same prefix, no target is swamped.
   EXPECT_LE(mostLoaded(Board, *Choice, 500, 42), 17U);
 }
@@ -111,7 +121,7 @@
 
 RC_GTEST_PROP(Stragglers, NoSingleAnswerChangesTheVerdict,
               (const std::vector<int> &Before)) {
-  auto Policy = makeStragglerPolicy("peer-median");
+  auto Policy = makeStragglerPolicy("peer-mean");
   TargetHealth Health;
   for (int Each : Before)
     Health = Policy->judge(Health, std::exp(Each % 3 / 4.0));
--- a/Tests/LibRouting/TestRouter.cpp
+++ b/Tests/LibRouting/TestRouter.cpp
@@ -214,6 +214,33 @@
   EXPECT_EQ(World.Cancelled, std::set<AttemptId>{Sent[0].Attempt});
 }
 
+TEST(Router, TargetsThatLoseAgainstHedgesBecomeStragglers) {
+  RouterWorld World(smallOptions());
+  World.setTargets({RouterWorld::target("a", 8), RouterWorld::target("b", 8)});
+  // A few answers take longer, so that a hedge starts well after the median.
+  for (int I = 0; I < 10; ++I) {
+    learnTimes(World, 6, 100ms);
+    learnTimes(World, 1, 300ms);
+  }
+  auto FinishAll = [&World](std::string_view Where, AttemptResult Result) {
+    for (AttemptId Each : World.running())
+      if (World.whereIs(Each) == Where)
+        World.finish(Each, Result);
+  };
+  // From now on a does not answer.
+  for (int I = 0; I < 12; ++I) {
+    for (int J = 0; J < 8; ++J)
+      World.submit(World.request());
+    World.advance(100ms);
+    FinishAll("b#1", AttemptResult::Complete);
+    World.advance(300ms);
+    FinishAll("b#1", AttemptResult::Complete);
+    FinishAll("a#1", AttemptResult::Cancelled);
+  }
+  for (const TargetUse &Each : World.status().Targets)
+    EXPECT_EQ(Each.Straggler, Each.TargetName == "a");
+}
+
 TEST(Router, HedgesStayWithinTheirShareWhenAllAnswersAreLate) {
   RouterWorld World(smallOptions());
   World.setTargets(
@@ -236,13 +263,28 @@
     RequestId Request = World.submit(World.request());
     ASSERT_EQ(World.dispatches(Request).size(), 1U);
     World.finish(World.running().front(), AttemptResult::FailedAfterByte);
-    EXPECT_EQ(World.dispatches(Request).size(), 2U);
+    ASSERT_EQ(World.dispatches(Request).size(), 2U);
+    // Also a failed target that is not set aside is not tried again at once.
+    EXPECT_NE(World.dispatches(Request)[0].TargetName,
+              World.dispatches(Request)[1].TargetName);
     World.callerGone(Request);
     if (!World.running().empty())
       World.finish(World.running().front(), AttemptResult::Cancelled);
   }
 }
 
+TEST(Router, AnOverloadedTargetIsLeftAloneAsLongAsItAsked) {
+  RouterWorld World(smallOptions());
+  World.setTargets({RouterWorld::target("a", 9)});
+  World.submit(World.request());
+  World.finish(World.running().front(), AttemptResult::Overloaded, 2s);
+  RequestId Next = World.submit(World.request());
+  World.advance(1900ms);
+  EXPECT_TRUE(World.dispatches(Next).empty());
+  World.advance(200ms);
+  EXPECT_EQ(World.dispatches(Next).size(), 1U);
+}
+
 TEST(Router, AFailingTargetIsLeftAloneForAWhile) {
   RouterWorld World(smallOptions());
   World.setTargets({RouterWorld::target("a", 9), RouterWorld::target("b", 9)});
