--- /dev/null
+++ b/Tests/LibRouting/RoutingScenarioWorld.h
@@ -0,0 +1,58 @@
+//===- Tests/LibRouting/RoutingScenarioWorld.h - Routing by script --------===//
+///
+/// \file
+/// The verbs of routing scenarios, on one entry host's RouterWorld:
+///
+///     ENGINE list slots=4 [life=2] [draining=yes]
+///     ENGINE unlist
+///     ENGINE serve|break|unreached|hold [time=200ms]
+///     NAME submit [count=9] [workspace=W] [deadline=5s] [payout=yes]
+///     DOMAIN tell spare=4 [out=yes]
+///     entry drain
+///     NAME expect served|refused|forwarded|gone|open [least=N] [most=N]
+///     entry expect retried|hedged [least=N] [most=N]
+///     ENGINE expect running [least=N] [most=N]
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef TESTS_LIBROUTING_ROUTINGSCENARIOWORLD_H
+#define TESTS_LIBROUTING_ROUTINGSCENARIOWORLD_H
+
+#include "RouterWorld.h"
+
+#include <Scenario/World.h>
+
+namespace carobhinge {
+
+class RoutingScenarioWorld final : public scenario::World {
+public:
+  RoutingScenarioWorld() : Entry(RouterOptions{}) {}
+
+  [[nodiscard]] std::span<const std::string_view> verbs() const override;
+  void advance(Duration Passed) override;
+  void act(const scenario::Step &What) override;
+  std::optional<std::string> unmet(const scenario::Step &Wanted) override;
+  std::optional<std::string> brokenInvariant() override;
+
+private:
+  struct Behaviour {
+    /// "hold", "serve", "break" or "unreached".
+    std::string Verb = "hold";
+    Duration Time{};
+  };
+
+  void submit(const scenario::Step &What);
+  void stepEngines();
+  [[nodiscard]] std::uint64_t count(const scenario::Step &Wanted) const;
+
+  RouterWorld Entry;
+  std::map<std::string, Target> Listed;
+  std::map<std::string, DomainSummary> Neighbours;
+  std::map<std::string, Behaviour> Behaviours;
+  std::map<AttemptId, TimePoint> SeenAt;
+  std::map<std::string, std::vector<RequestId>> Submitted;
+};
+
+} // namespace carobhinge
+
+#endif // TESTS_LIBROUTING_ROUTINGSCENARIOWORLD_H
