--- a/Libraries/LibRouting/TargetBoard.cpp
+++ b/Libraries/LibRouting/TargetBoard.cpp
@@ -44,6 +44,7 @@
   this->States[Index].Info = Info;
   this->ByLife[keyOf(Info.Name, Info.Life)] = Index;
   ++this->Membership;
+  ++this->Listed;
   return Index;
 }
 
@@ -74,6 +75,7 @@
 void TargetBoard::retire(TargetIndex Index) {
   TargetState &State = this->States[Index];
   State.Gone = true;
+  --this->Listed;
   if (std::exchange(State.Aside, false))
     this->Reopenings.erase({State.AsideUntil, Index});
   ++this->Membership;
@@ -96,8 +98,12 @@
     TargetIndex Index =
         Found == this->ByLife.end() ? this->add(Info) : Found->second;
     TargetState &State = this->States[Index];
-    if (std::exchange(State.Gone, false))
+    if (std::exchange(State.Gone, false)) {
       ++this->Membership;
+      ++this->Listed;
+    }
+    if (State.Info.Load != Info.Load || Found == this->ByLife.end())
+      takeReport(State, Info.Load);
     State.Info = Info;
     this->refresh(Index);
     Listed[Index] = true;
@@ -107,14 +113,20 @@
       this->retire(Index);
 }
 
+void TargetBoard::takeReport(TargetState &State, const ReportedLoad &Load) {
+  std::uint32_t Reported = Load.Running + Load.Queued;
+  State.Info.Load = Load;
+  State.WorkOfOthers = Reported - std::min(Reported, State.Outstanding);
+}
+
 void TargetBoard::reportLoad(std::string_view Name, Incarnation Life,
                              const ReportedLoad &Load) {
   auto Found = this->ByLife.find(keyOf(Name, Life));
   if (Found == this->ByLife.end())
     return;
-  ReportedLoad &Known = this->States[Found->second].Info.Load;
-  if (Load.ReceivedAt >= Known.ReceivedAt)
-    Known = Load;
+  TargetState &State = this->States[Found->second];
+  if (Load.ReceivedAt >= State.Info.Load.ReceivedAt)
+    takeReport(State, Load);
 }
 
 void TargetBoard::take(TargetIndex Index) {
@@ -146,6 +158,10 @@
   this->refresh(Index);
 }
 
+bool TargetBoard::manyAside() const {
+  return 2 * (this->Reopenings.size() + 1) > this->Listed;
+}
+
 void TargetBoard::setHealth(TargetIndex Index, const TargetHealth &Health) {
   this->States[Index].Health = Health;
   this->refresh(Index);
--- a/Libraries/LibRouting/TargetChoice.cpp
+++ b/Libraries/LibRouting/TargetChoice.cpp
@@ -29,14 +29,19 @@
 
 /// What others have running at the target, weighted by the report's age.
 static double workOfOthers(TimePoint Now, const TargetState &State) {
-  const ReportedLoad &Load = State.Info.Load;
-  std::uint32_t Reported = Load.Running + Load.Queued;
-  Duration Age = Now - Load.ReceivedAt;
-  if (Reported <= State.Outstanding || Age >= ReportLifetime)
+  Duration Age = Now - State.Info.Load.ReceivedAt;
+  if (Age >= ReportLifetime)
     return 0;
   double Freshness = 1 - static_cast<double>(Age.count()) /
                              static_cast<double>(ReportLifetime.count());
-  return Freshness * (Reported - State.Outstanding);
+  return Freshness * State.WorkOfOthers;
+}
+
+/// The part of its slots in use from here with one more request. What others
+/// send is left out: they keep the same bound with the same ring.
+static double ownLoad(const TargetState &State) {
+  double Limit = std::max(1U, TargetBoard::limitOf(State));
+  return (State.Outstanding + 1) / Limit;
 }
 
 double loadScore(TimePoint Now, const TargetState &State) {
@@ -105,7 +110,7 @@
   std::optional<TargetIndex> choose(TimePoint Now, const TargetBoard &Board,
                                     const ChoiceRequest &Request) override {
     if (Request.PrefixHash != 0)
-      if (auto Index = this->chooseOnRing(Now, Board, Request))
+      if (auto Index = this->chooseOnRing(Board, Request))
         return Index;
     return this->Fallback.choose(Now, Board, Request);
   }
@@ -116,8 +121,7 @@
     TargetIndex Index = 0;
   };
 
-  std::optional<TargetIndex> chooseOnRing(TimePoint Now,
-                                          const TargetBoard &Board,
+  std::optional<TargetIndex> chooseOnRing(const TargetBoard &Board,
                                           const ChoiceRequest &Request);
   void rebuild(const TargetBoard &Board);
 
@@ -152,7 +156,7 @@
 }
 
 std::optional<TargetIndex>
-PrefixAffinity::chooseOnRing(TimePoint Now, const TargetBoard &Board,
+PrefixAffinity::chooseOnRing(const TargetBoard &Board,
                              const ChoiceRequest &Request) {
   if (this->BuiltFor != Board.membership())
     this->rebuild(Board);
@@ -167,8 +171,9 @@
     if (Where == this->Ring.end())
       Where = this->Ring.begin();
     TargetIndex Index = Where->Index;
+    const TargetState &State = Board[Index];
     if (Board.isOpen(Index) && Index != Request.Avoid &&
-        loadScore(Now, Board[Index]) <= MostLoad)
+        !State.Health.Straggler && ownLoad(State) <= MostLoad)
       return Index;
   }
   return std::nullopt;
