--- a/Tests/LibIntent/DisseminationWorld.h
+++ b/Tests/LibIntent/DisseminationWorld.h
@@ -141,8 +141,23 @@
   std::map<HostName, Host> Hosts;
   TimePoint Now;
   std::uint64_t Version = 0;
+  /// Real time spent inside the hosts' decisions and codecs, for benchmarks.
+  Duration InHosts{};
 
 private:
+  /// Adds the time until its end to InHosts.
+  class Stopwatch {
+  public:
+    explicit Stopwatch(Duration &Sum) : Sum(Sum), Began(monotonicNow()) {}
+    ~Stopwatch() { this->Sum += monotonicNow() - this->Began; }
+    Stopwatch(const Stopwatch &) = delete;
+    Stopwatch &operator=(const Stopwatch &) = delete;
+
+  private:
+    Duration &Sum;
+    TimePoint Began;
+  };
+
   struct Delivery {
     HostName From;
     HostName To;
@@ -160,25 +175,39 @@
                                            !this->Cut.contains(Right.Domain));
   }
 
+  std::vector<IntentSend> tick(Host &Each) {
+    Stopwatch Watch(this->InHosts);
+    return Each.Tree->tick(this->Now);
+  }
+
+  /// A quorum is there unless the domain is cut off from the others.
+  void feed(const HostName &Name, Host &Each) {
+    if (!Each.Control || this->Cut.contains(Each.Domain))
+      return;
+    if (this->Version > 0)
+      this->sendAll(Name, Each.Tree->publish(this->Version, this->Text));
+    Each.Tree->confirmCurrent(this->Now);
+  }
+
   void tickAll() {
     for (auto &[Name, Each] : this->Hosts) {
       if (!Each.Up)
         continue;
-      // A quorum is there unless the domain is cut off from the others.
-      if (Each.Control && !this->Cut.contains(Each.Domain)) {
-        if (this->Version > 0)
-          this->sendAll(Name, Each.Tree->publish(this->Version, this->Text));
-        Each.Tree->confirmCurrent(this->Now);
-      }
-      this->sendAll(Name, Each.Tree->tick(this->Now));
+      this->feed(Name, Each);
+      this->sendAll(Name, this->tick(Each));
       this->check(Name, Each);
     }
   }
 
+  std::string encoded(const IntentSend &Each) {
+    Stopwatch Watch(this->InHosts);
+    return Each.Message.SerializeAsString();
+  }
+
   void sendAll(const HostName &From, std::vector<IntentSend> Sends) {
     Host &Sender = this->Hosts.at(From);
     for (const IntentSend &Each : Sends) {
-      std::string Bytes = Each.Message.SerializeAsString();
+      std::string Bytes = this->encoded(Each);
       Sender.BytesSent += Bytes.size();
       ++Sender.MessagesSent;
       int Copies = this->draw() < this->Options.DropShare ? 0 : 1;
@@ -192,6 +221,14 @@
     }
   }
 
+  std::vector<IntentSend> handle(Host &To, const Delivery &Each) {
+    Stopwatch Watch(this->InHosts);
+    message::IntentMessage Message;
+    if (!Message.ParseFromString(Each.Bytes))
+      throw std::logic_error("a message does not read back");
+    return To.Tree->handle(this->Now, Each.From, Message);
+  }
+
   void deliverFirst() {
     auto First = this->Queue.extract(this->Queue.begin());
     this->Now = std::max(this->Now, First.key());
@@ -199,11 +236,8 @@
     Host &To = this->Hosts.at(Each.To);
     if (!To.Up || !this->connected(To, this->Hosts.at(Each.From)))
       return;
-    message::IntentMessage Message;
-    if (!Message.ParseFromString(Each.Bytes))
-      throw std::logic_error("a message does not read back");
     To.BytesReceived += Each.Bytes.size();
-    this->sendAll(Each.To, To.Tree->handle(this->Now, Each.From, Message));
+    this->sendAll(Each.To, this->handle(To, Each));
     this->check(Each.To, To);
   }
 
--- a/Tests/LibIntent/TestDissemination.cpp
+++ b/Tests/LibIntent/TestDissemination.cpp
@@ -182,7 +182,14 @@
   EXPECT_TRUE(InForce.isOut("b"));
   InForce.offer(3, text());
   EXPECT_EQ(InForce.refusal({}), DomainRefusal::None);
-  EXPECT_TRUE(InForce.isOut("not-listed"));
+}
+
+TEST(IntentInForce, AFailureDomainThatIsNotListedTakesNoWork) {
+  IntentInForce InForce({.Domain = "z"});
+  InForce.markReady();
+  InForce.offer(1, text());
+  EXPECT_EQ(InForce.refusal({}), DomainRefusal::NotListed);
+  EXPECT_TRUE(InForce.isOut("z"));
 }
 
 /// Any mix of changes, restarts, cuts and bad links. The world throws if a
--- a/Tests/LibIntent/TestDisseminationRules.cpp
+++ b/Tests/LibIntent/TestDisseminationRules.cpp
@@ -76,6 +76,52 @@
   EXPECT_TRUE(this->InForce.ready());
 }
 
+/// A host of another domain may be as old as this one was.
+TEST_F(DisseminationRules, AnotherDomainVouchesForNothing) {
+  std::uint64_t Number = this->polled("x");
+  this->deliver("x", answer(Number, true, 1, 1));
+  this->Now += 11s;
+  this->Tree.tick(this->Now);
+  this->Now += 2s;
+  this->Tree.tick(this->Now);
+  EXPECT_FALSE(this->InForce.ready());
+}
+
+/// The first candidate never answers, the second one always does.
+TEST_F(DisseminationRules, ALostParentIsLeftAndTriedAgainLater) {
+  std::string Asked;
+  for (int I = 0; I < 12; ++I) {
+    for (const IntentSend &Each : this->Tree.tick(this->Now)) {
+      if (!Each.Message.poll().wants_pushes())
+        continue;
+      Asked += Each.To;
+      if (Each.To == "p")
+        this->deliver("p", answer(Each.Message.poll().number(), true, 1, 1));
+    }
+    this->Now += 1s;
+  }
+  EXPECT_EQ(Asked, "xxpppppppxxp");
+}
+
+TEST_F(DisseminationRules, AFullOrSilentParentIsLeft) {
+  message::IntentMessage Full = answer(this->polled("x"), true, 1, 1);
+  Full.mutable_answer()->set_full(true);
+  this->deliver("x", Full);
+  EXPECT_EQ(this->Tree.parent(), "p");
+  this->Now += 11s;
+  std::uint64_t Number = this->polled("p");
+  this->deliver("p", answer(Number + 1, true, 1, 0));
+  EXPECT_EQ(this->Tree.parent(), "x");
+}
+
+TEST_F(DisseminationRules, AChildThatKnowsMoreIsAskedForIt) {
+  message::IntentMessage Message;
+  Message.mutable_poll()->set_version(9);
+  std::vector<IntentSend> Sends = this->deliver("p", Message);
+  ASSERT_EQ(Sends.size(), 2);
+  EXPECT_TRUE(Sends[1].Message.poll().wants_text());
+}
+
 TEST_F(DisseminationRules, AnAgeVouchesOnlyForAVersionThatArrived) {
   message::IntentMessage Message = answer(this->polled("p"), true, 2, 1);
   Message.mutable_answer()->set_heard_control(true);
