--- a/Tests/LibIntent/TestIntent.cpp
+++ b/Tests/LibIntent/TestIntent.cpp
@@ -136,6 +136,15 @@
         "path": "/*", "idempotent": true})",
        "/services/1/calls/1/path: expected no request in common with call "
        "\"payout\", found \"POST /*\""},
+      {"/services/1/calls/1", R"({"name": "again", "method": "POST",
+        "path": "/payouts", "idempotent": true})",
+       "/services/1/calls/1/path: expected no request in common with call "
+       "\"payout\", found \"POST /payouts\""},
+      {"/services/1/calls", R"([{"name": "all", "method": "GET",
+        "path": "/r*", "idempotent": true}, {"name": "one", "method": "GET",
+        "path": "/readings", "idempotent": true}])",
+       "/services/1/calls/1/path: expected no request in common with call "
+       "\"all\", found \"GET /readings\""},
       {"/services/1/calls/1", R"({"name": "payout", "method": "GET",
         "path": "/r", "idempotent": true})",
        "/services/1/calls/1/name: expected a name used once"},
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -8,6 +8,7 @@
 
 #include <LibSettings/SettingRows.h>
 #include <boost/json.hpp>
+#include <fstream>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -139,3 +140,20 @@
     EXPECT_LE(Row.NumberDefault, Row.Range.Most) << Row.Name;
   }
 }
+
+/// On a failure, put the printed table into the page.
+TEST(Settings, ThePageHoldsTheTable) {
+  std::ifstream File(CAROBHINGE_SOURCE_FOLDER "/docs/SETTINGS.md");
+  std::string Page((std::istreambuf_iterator<char>(File)), {});
+  EXPECT_NE(Page.find(settingsMarkdown()), std::string::npos)
+      << settingsMarkdown();
+}
+
+TEST(Settings, ThePagesExampleIsGood) {
+  std::ifstream File(CAROBHINGE_SOURCE_FOLDER "/docs/SETTINGS.md");
+  std::string Page((std::istreambuf_iterator<char>(File)), {});
+  std::size_t Begin = Page.find("```json\n") + 8;
+  Findings Found;
+  parseSettings(Page.substr(Begin, Page.find("```", Begin) - Begin), Found);
+  EXPECT_EQ(Found.report(), "");
+}
