--- a/Libraries/LibSettings/PolicyNames.h
+++ b/Libraries/LibSettings/PolicyNames.h
@@ -14,14 +14,24 @@
 
 namespace carobhinge {
 
-inline constexpr std::array<std::string_view, 2> AdmissionPolicyNames = {
-    "weighted-fair", "first-come"};
-inline constexpr std::array<std::string_view, 2> ChoicePolicyNames = {
-    "least-work", "round-robin"};
-inline constexpr std::array<std::string_view, 2> GroupPolicyNames = {
-    "fabric-packing", "announcement-order"};
-inline constexpr std::array<std::string_view, 2> RepairPolicyNames = {
-    "spare-first", "re-form"};
+template <std::size_t Count>
+using PolicyNames = std::array<std::string_view, Count>;
+
+inline constexpr PolicyNames<2> AdmissionPolicyNames = {"fair", "fifo"};
+inline constexpr PolicyNames<3> ChoicePolicyNames = {
+    "prefix-affinity", "two-choices", "round-robin"};
+inline constexpr PolicyNames<2> DeadlinePolicyNames = {"estimate", "none"};
+inline constexpr PolicyNames<3> RetryPolicyNames = {"budgeted", "none",
+                                                    "unlimited"};
+inline constexpr PolicyNames<3> HedgePolicyNames = {"budgeted", "none",
+                                                    "unlimited"};
+inline constexpr PolicyNames<2> StragglerPolicyNames = {"peer-median", "none"};
+inline constexpr PolicyNames<2> SpilloverPolicyNames = {"spare-capacity",
+                                                        "none"};
+inline constexpr PolicyNames<2> GroupPolicyNames = {"loaded-rank",
+                                                    "announcement-order"};
+inline constexpr PolicyNames<2> RepairPolicyNames = {"spare-first",
+                                                     "fixed-timeout"};
 
 } // namespace carobhinge
 
--- a/Libraries/LibSettings/SettingRows.cpp
+++ b/Libraries/LibSettings/SettingRows.cpp
@@ -124,6 +124,22 @@
   Rows.push_back(choice("policies", "choice",
                         TARGET(std::string, Policies.Choice), ChoicePolicyNames,
                         "How a group or endpoint is chosen for a request"));
+  Rows.push_back(
+      choice("policies", "deadlines", TARGET(std::string, Policies.Deadlines),
+             DeadlinePolicyNames, "Which requests are refused as too late"));
+  Rows.push_back(choice("policies", "retries",
+                        TARGET(std::string, Policies.Retries), RetryPolicyNames,
+                        "How many idempotent requests are sent again"));
+  Rows.push_back(choice("policies", "hedges",
+                        TARGET(std::string, Policies.Hedges), HedgePolicyNames,
+                        "How many idempotent requests are sent to a second "
+                        "target while the first is slow"));
+  Rows.push_back(choice("policies", "stragglers",
+                        TARGET(std::string, Policies.Stragglers),
+                        StragglerPolicyNames, "How slow targets are found"));
+  Rows.push_back(choice(
+      "policies", "spillover", TARGET(std::string, Policies.Spillover),
+      SpilloverPolicyNames, "When requests go to another failure domain"));
   Rows.push_back(choice("policies", "groups",
                         TARGET(std::string, Policies.Groups), GroupPolicyNames,
                         "How hosts are put together into groups"));
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -53,6 +53,11 @@
 struct PolicyChoice {
   std::string Admission;
   std::string Choice;
+  std::string Deadlines;
+  std::string Retries;
+  std::string Hedges;
+  std::string Stragglers;
+  std::string Spillover;
   std::string Groups;
   std::string Repair;
 };
--- a/Meta/CMake/LibSettings.cmake
+++ b/Meta/CMake/LibSettings.cmake
@@ -1,2 +1,2 @@
 carobhinge_library(LibSettings LibCore)
-carobhinge_test(LibSettings LibSettings)
+carobhinge_test(LibSettings LibSettings LibRouting LibFleet)
--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -39,7 +39,7 @@
   EXPECT_EQ(Read.Times.Drain, std::chrono::milliseconds(1500));
   EXPECT_EQ(Read.Times.Heartbeat, std::chrono::milliseconds(100));
   EXPECT_EQ(Read.LedgerShards, 2);
-  EXPECT_EQ(Read.Policies.Admission, "weighted-fair");
+  EXPECT_EQ(Read.Policies.Admission, "fair");
   EXPECT_EQ(Read.Log.Level, "info");
 }
 
@@ -94,7 +94,7 @@
       {"/data_folder", "", "/data_folder: expected a folder"},
       {"/threads", "0", "/threads: expected an integer from 1 to 256, found 0"},
       {"/policies", R"({"choice": "best"})",
-       "/policies/choice: expected one of least-work round-robin"},
+       "/policies/choice: expected one of prefix-affinity two-choices"},
       {"/limits", R"({"body_byte": 5000})",
        "/limits/body_byte: expected a known member (did you mean "
        "\"body_bytes\"?)"},
