--- a/Libraries/LibIntent/IntentParser.cpp
+++ b/Libraries/LibIntent/IntentParser.cpp
@@ -106,11 +106,12 @@
 }
 
 static void checkPath(JsonReader &Reader, std::string_view Path) {
+  static constexpr std::size_t None = std::string_view::npos;
   std::size_t Star = Path.find('*');
-  bool Good = Path.starts_with('/') &&
-              Path.find_first_of("?#%\\ ") == Path.npos &&
-              Path.find("//") == Path.npos && Path.find("/.") == Path.npos &&
-              (Star == Path.npos || Star + 1 == Path.size());
+  bool Good =
+      Path.starts_with('/') && (Star == None || Star + 1 == Path.size());
+  for (std::string_view Bad : {"?", "#", "%", "\\", " ", "//", "/."})
+    Good = Good && Path.find(Bad) == None;
   if (!Good && !Path.empty())
     Reader.report("path",
                   "a path from '/' without query, escapes or dot segments, "
--- a/Libraries/LibSettings/NetworkAddress.h
+++ b/Libraries/LibSettings/NetworkAddress.h
@@ -26,7 +26,7 @@
   /// "IP:PORT", with brackets around an IPv6 number.
   [[nodiscard]] std::string text() const;
 
-  auto operator<=>(const NetworkAddress &) const = default;
+  bool operator==(const NetworkAddress &) const = default;
 };
 
 /// Reads "IP:PORT" or "[IPV6]:PORT". Host names and port zero are refused.
--- a/Libraries/LibSettings/Settings.cpp
+++ b/Libraries/LibSettings/Settings.cpp
@@ -152,11 +152,11 @@
 }
 
 static void checkAddresses(const Settings &Read, Findings &Out) {
-  std::map<NetworkAddress, std::string> Seen;
+  std::map<std::string, std::string> Seen;
   auto Check = [&](const NetworkAddress &Address, const std::string &Place) {
     if (Address.Port == 0)
       return;
-    auto [Before, New] = Seen.emplace(Address, Place);
+    auto [Before, New] = Seen.emplace(Address.text(), Place);
     if (!New)
       Out.add(Place, "an address unlike that of " + Before->second,
               "\"" + Address.text() + "\"");
--- a/Tests/LibIntent/DisseminationWorld.h
+++ b/Tests/LibIntent/DisseminationWorld.h
@@ -204,7 +204,7 @@
     return Each.Message.SerializeAsString();
   }
 
-  void sendAll(const HostName &From, std::vector<IntentSend> Sends) {
+  void sendAll(const HostName &From, const std::vector<IntentSend> &Sends) {
     Host &Sender = this->Hosts.at(From);
     for (const IntentSend &Each : Sends) {
       std::string Bytes = this->encoded(Each);
