LibIntent: Leave a parent after one unanswered poll

Change: one unanswered poll is enough. ALostParentIsLeftAndTriedAgainLater names the polls one by one and was rewritten for the new rule, as strict as before; ALostParentIsReplaced now allows 3 s instead of 8 s.

--- a/Libraries/LibIntent/Dissemination.cpp
+++ b/Libraries/LibIntent/Dissemination.cpp
@@ -14,8 +14,9 @@
 
 /// Texts kept as bases for deltas. A child that missed more gets the whole.
 static constexpr std::size_t RecentTexts = 4;
-/// Unanswered polls after which a parent counts as lost.
-static constexpr int LostAfterPolls = 2;
+/// Unanswered polls after which a parent counts as lost. A wrong guess costs one
+/// message; each poll waited for costs a level of the tree its interval.
+static constexpr int LostAfterPolls = 1;
 /// Polls between two tries to return to the first candidate.
 static constexpr int ReturnAfterPolls = 10;
 /// Poll intervals without a poll after which a child is forgotten.
--- a/Tests/LibIntent/TestDissemination.cpp
+++ b/Tests/LibIntent/TestDissemination.cpp
@@ -55,7 +55,7 @@
   for (const char *Name : {"a-0000", "a-0001", "b-0003"})
     World.stop(Name);
   World.accept(text(true));
-  World.run(8s);
+  World.run(3s);
   EXPECT_EQ(World.inForceCount(), 117);
 }
 
--- a/Tests/LibIntent/TestDisseminationRules.cpp
+++ b/Tests/LibIntent/TestDisseminationRules.cpp
@@ -100,7 +100,7 @@
     }
     this->Now += 1s;
   }
-  EXPECT_EQ(Asked, "xxpppppppxxp");
+  EXPECT_EQ(Asked, "xppppppppxpp");
 }
 
 TEST_F(DisseminationRules, AFullOrSilentParentIsLeft) {
