--- a/Tests/LibIntent/TestDissemination.cpp
+++ b/Tests/LibIntent/TestDissemination.cpp
@@ -50,12 +50,14 @@
   EXPECT_TRUE(World.host("b-0039").InForce->isOut("a"));
 }
 
+/// One second until the next poll, one for each lost candidate in a row (here
+/// two) and one for the level below.
 TEST(Dissemination, ALostParentIsReplaced) {
   DisseminationWorld World = settled(threeDomains(40));
   for (const char *Name : {"a-0000", "a-0001", "b-0003"})
     World.stop(Name);
   World.accept(text(true));
-  World.run(3s);
+  World.run(4s);
   EXPECT_EQ(World.inForceCount(), 117);
 }
 
