--- /dev/null
+++ b/Meta/CMake/LibCommands.cmake
@@ -0,0 +1,2 @@
+carobhinge_library(LibCommands LibCore LibSettings LibIntent)
+carobhinge_test(LibCommands LibCommands)
