--- a/Tests/LibLedger/TestLedger.cpp
+++ b/Tests/LibLedger/TestLedger.cpp
@@ -321,7 +321,7 @@
 
 TEST(Ledger, LongBodiesAreKeptAsLengthOnly) {
   Bench Bench({.BodyBytes = 8, .BodyTotalBytes = 12});
-  auto BodyAfter = [&](std::string Key, std::string_view Body) {
+  auto BodyAfter = [&](const std::string &Key, std::string_view Body) {
     Bench.apply(claimOf({.Key = Key}));
     Bench.apply(recordOf({.Key = Key}, true, Body));
     auto Outcome = Bench.open({.Key = Key}).outcome();
--- a/Tests/Scenario/Runner.cpp
+++ b/Tests/Scenario/Runner.cpp
@@ -61,9 +61,9 @@
   static std::string describe(const Step &What) {
     std::string Text = What.Who;
     for (const std::string &Word : What.Words)
-      Text += " " + Word;
+      Text.append(" ").append(Word);
     for (const auto &[Name, Value] : What.Options)
-      Text += " " + Name + "=" + Value;
+      Text.append(" ").append(Name).append("=").append(Value);
     return Text;
   }
 
@@ -116,7 +116,7 @@
 }
 
 bool registerScenarios(const std::filesystem::path &Folder,
-                       std::string_view Prefix, WorldFactory Factory) {
+                       std::string_view Prefix, const WorldFactory &Factory) {
   std::vector<std::filesystem::path> Files;
   for (const auto &Each : std::filesystem::directory_iterator(Folder))
     if (Each.path().extension() == ".scenario" &&
--- a/Tests/Scenario/Runner.h
+++ b/Tests/Scenario/Runner.h
@@ -30,7 +30,7 @@
 /// initialiser of the test program. Throws std::runtime_error if there is no
 /// such file.
 bool registerScenarios(const std::filesystem::path &Folder,
-                       std::string_view Prefix, WorldFactory Factory);
+                       std::string_view Prefix, const WorldFactory &Factory);
 
 } // namespace carobhinge::scenario
 
--- a/Tests/State/ControlPlane.cpp
+++ b/Tests/State/ControlPlane.cpp
@@ -20,24 +20,24 @@
 constexpr Duration RetryInterval = milliseconds(50);
 
 void ControlPlane::propose(const HostName &From, CommandKind Kind,
-                           std::string Bytes, ProposalDone Done) {
+                           std::string_view Bytes, ProposalDone Done) {
   auto Asked = std::make_shared<Request>();
   Asked->From = From;
   std::int64_t StampMs =
       this->StartMs + carobhinge::milliseconds(this->Wires.now());
   Asked->Encoded = encodeCommand(++this->LastNumber, Kind, StampMs, Bytes);
   Asked->Proposed = std::move(Done);
-  this->begin(std::move(Asked));
+  this->begin(Asked);
 }
 
 void ControlPlane::read(const HostName &From, ReadDone Done) {
   auto Asked = std::make_shared<Request>();
   Asked->From = From;
   Asked->Read = std::move(Done);
-  this->begin(std::move(Asked));
+  this->begin(Asked);
 }
 
-void ControlPlane::begin(RequestPointer Asked) {
+void ControlPlane::begin(const RequestPointer &Asked) {
   Asked->Until = this->Wires.now() + RequestBound;
   Asked->Voter = this->Believed[Asked->From];
   this->Wires.after(RequestBound, Asked->From, [this, Asked] {
--- a/Tests/State/ControlPlane.h
+++ b/Tests/State/ControlPlane.h
@@ -29,7 +29,7 @@
       : Cluster(Cluster), Wires(Wires), Voters(std::move(Voters)),
         StartMs(StartMs) {}
 
-  void propose(const HostName &From, CommandKind Kind, std::string Bytes,
+  void propose(const HostName &From, CommandKind Kind, std::string_view Bytes,
                ProposalDone Done);
   void read(const HostName &From, ReadDone Done);
 
@@ -60,7 +60,7 @@
     RequestPointer Asked;
   };
 
-  void begin(RequestPointer Asked);
+  void begin(const RequestPointer &Asked);
   void send(const RequestPointer &Asked);
   void refused(const RequestPointer &Asked);
   void finish(const RequestPointer &Asked,
--- a/Tests/State/Wire.h
+++ b/Tests/State/Wire.h
@@ -36,7 +36,7 @@
   }
 
   /// Sends over a link that may lose, repeat, delay and reorder.
-  void post(const HostName &From, const HostName &To, Action Then) {
+  void post(const HostName &From, const HostName &To, const Action &Then) {
     const LinkFaults &Link = this->Cluster.link(From, To);
     if (Link.Cut || this->Random() % 100 < Link.DropPercent)
       return;
