--- a/Tests/LibLedger/TestCallAttempt.cpp
+++ b/Tests/LibLedger/TestCallAttempt.cpp
@@ -371,3 +371,24 @@
   EXPECT_EQ(std::get<Answer>(Effects[0]).Kind, AnswerKind::Unknown);
   EXPECT_TRUE(std::holds_alternative<AskClose>(Effects[1]));
 }
+
+TEST(CallAttempt, IgnoresRepliesToEarlierClaims) {
+  // The first claim was released, and another attempt may hold the key now.
+  CallAttempt Attempt(CallAttemptOptions{});
+  Attempt.start();
+  LedgerReply Reply;
+  Attempt.handle(Opened{Reply});
+  Attempt.handle(SlotChosen{.Endpoint = "e1", .Address = "127.0.0.1:1"});
+  Reply.set_standing(message::LEDGER_GRANTED);
+  Reply.set_dispatch(1);
+  Attempt.handle(ClaimAnswered{Reply});
+  Attempt.handle(ConnectFailed{.Dispatch = 1});
+  Attempt.handle(SlotChosen{.Endpoint = "e2", .Address = "127.0.0.1:2"});
+  ASSERT_EQ(Attempt.state(), CallAttempt::State::Claiming);
+  EXPECT_TRUE(Attempt.handle(ClaimAnswered{Reply}).empty());
+  EXPECT_TRUE(Attempt.handle(ClaimLost{.Dispatch = 1}).empty());
+  Reply.set_dispatch(2);
+  auto Effects = Attempt.handle(ClaimAnswered{Reply});
+  ASSERT_EQ(Effects.size(), 1U);
+  EXPECT_EQ(std::get<DispatchCall>(Effects[0]).Endpoint, "e2");
+}
