--- a/Carobhinge/OperatorCommands.cpp
+++ b/Carobhinge/OperatorCommands.cpp
@@ -7,12 +7,10 @@
 //===----------------------------------------------------------------------===//
 
 #include <Carobhinge/Commands.h>
-#include <LibCore/JsonReader.h>
+#include <LibCommands/IntentCommands.h>
 #include <LibHTTP/BlockingFetch.h>
-#include <LibIntent/Intent.h>
-#include <LibIntent/IntentDiff.h>
-#include <LibSettings/Settings.h>
 #include <boost/json.hpp>
+#include <charconv>
 #include <cstdio>
 #include <fstream>
 #include <sstream>
@@ -52,51 +50,34 @@
     std::fputs("\n", stdout);
 }
 
+static OutputForm formOf(bool Json) {
+  return Json ? OutputForm::Json : OutputForm::Lines;
+}
+
+/// Prints a result and gives its exit code.
+static int finish(const CommandResult &Result) {
+  std::fputs(Result.Text.c_str(), stdout);
+  return Result.Exit;
+}
+
+static OperatorAnswer answerOf(const HttpAnswer &Answer) {
+  return {.Status = Answer.Head.Status, .Body = Answer.Body};
+}
+
 static int check(const std::string &Path, bool Json) {
-  std::string Text = readFile(Path);
-  Findings Faults;
-  std::optional<json::value> Value = parseJson(Text, Faults);
-  // Settings name a host; an intent does not.
-  bool IsSettings =
-      Value && Value->is_object() && Value->as_object().contains("host");
-  if (IsSettings)
-    parseSettings(Text, Faults);
-  else if (Value)
-    parseIntent(Text, Faults);
-  if (Json) {
-    json::array List;
-    for (const Finding &Each : Faults.items())
-      List.push_back(json::object{{"place", Each.Place},
-                                  {"expected", Each.Expected},
-                                  {"found", Each.Found}});
-    print(json::serialize(json::object{{"findings", std::move(List)}}));
-  } else {
-    print(Faults.empty() ? Path + ": no findings" : Faults.report());
-  }
-  return Faults.empty() ? ExitSuccess : ExitRefused;
+  return finish(checkText(Path, readFile(Path), formOf(Json)));
 }
 
 static int plan(const Question &Asked, const std::string &Path) {
-  Intent Wanted = loadIntent(Path);
+  std::string Wanted = readFile(Path);
   HttpAnswer Answer = get(Asked.Address, "/v1/intent");
   if (Answer.End != HttpCallEnd::Complete)
     return unreachable(Asked.Address);
-  Findings Faults;
-  std::optional<Intent> Current;
-  if (Answer.Head.Status == 200)
-    Current = parseIntent(Answer.Body, Faults);
-  std::string_view Version = Answer.Head.Headers.value("Carobhinge-Version");
-  std::printf("base version %s\n", std::string(Version).c_str());
-  if (!Current) {
-    print("no readable intent is in force; everything is new");
-    return ExitSuccess;
-  }
-  std::vector<IntentChange> Changes = diff(*Current, Wanted);
-  for (const IntentChange &Change : Changes)
-    print(Change.line());
-  if (Changes.empty())
-    print("no changes");
-  return ExitSuccess;
+  std::string_view Text = Answer.Head.Headers.value("Carobhinge-Version");
+  std::uint64_t Version = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Version);
+  std::string Current = Answer.Head.Status == 200 ? Answer.Body : std::string();
+  return finish(planChange(Version, Current, Wanted, formOf(Asked.Json)));
 }
 
 static int apply(const Question &Asked, const std::string &Path,
@@ -109,10 +90,7 @@
   HttpAnswer Answer = blockingFetch(Asked.Address, std::move(Request));
   if (Answer.End != HttpCallEnd::Complete)
     return unreachable(Asked.Address);
-  print(Answer.Body);
-  if (Answer.Head.Status == 200)
-    return ExitSuccess;
-  return Answer.Head.Status == 503 ? ExitUnreachable : ExitRefused;
+  return finish(printApplied(answerOf(Answer), formOf(Asked.Json)));
 }
 
 static int hold(const Question &Asked, bool Held, const std::string &Operator) {
@@ -129,26 +107,15 @@
   return Answer.Head.Status == 200 ? ExitSuccess : ExitRefused;
 }
 
-/// Prints an answer: as it came, or one line for each member.
-static int show(const Question &Asked, const std::string &Target) {
+/// How the answer of a reading command is printed.
+using Printer = CommandResult (*)(const OperatorAnswer &, OutputForm);
+
+static int show(const Question &Asked, const std::string &Target,
+                Printer Print) {
   HttpAnswer Answer = get(Asked.Address, Target);
   if (Answer.End != HttpCallEnd::Complete)
     return unreachable(Asked.Address);
-  if (Asked.Json || Answer.Head.Status != 200) {
-    print(Answer.Body);
-    return Answer.Head.Status == 200 ? ExitSuccess : ExitUnreachable;
-  }
-  json::value Body = json::parse(Answer.Body);
-  for (const json::key_value_pair &Member : Body.as_object()) {
-    if (!Member.value().is_array()) {
-      print(std::string(Member.key()) + ": " + json::serialize(Member.value()));
-      continue;
-    }
-    print(std::string(Member.key()) + ":");
-    for (const json::value &Row : Member.value().as_array())
-      print("  " + json::serialize(Row));
-  }
-  return ExitSuccess;
+  return finish(Print(answerOf(Answer), formOf(Asked.Json)));
 }
 
 static std::shared_ptr<Question> addQuestion(CLI::App &To) {
@@ -176,14 +143,7 @@
   auto Path = std::make_shared<std::string>();
   Command->add_option("file", *Path)->required();
   auto Asked = addQuestion(*Command);
-  Command->callback([=, &Exit] {
-    try {
-      Exit = plan(*Asked, *Path);
-    } catch (const FindingsError &Error) {
-      print(Error.what());
-      Exit = ExitRefused;
-    }
-  });
+  Command->callback([=, &Exit] { Exit = plan(*Asked, *Path); });
 }
 
 static void addApply(CLI::App &To, int &Exit) {
@@ -214,10 +174,11 @@
 }
 
 static void addShow(CLI::App &To, int &Exit, const std::string &Name,
-                    const std::string &Help, const std::string &Target) {
+                    const std::string &Help, const std::string &Target,
+                    Printer Print) {
   auto *Command = To.add_subcommand(Name, Help);
   auto Asked = addQuestion(*Command);
-  Command->callback([=, &Exit] { Exit = show(*Asked, Target); });
+  Command->callback([=, &Exit] { Exit = show(*Asked, Target, Print); });
 }
 
 void addOperatorCommands(CLI::App &To, int &Exit) {
@@ -225,9 +186,10 @@
   addPlan(To, Exit);
   addApply(To, Exit);
   addHold(To, Exit);
-  addShow(To, Exit, "status", "What a host knows and does.", "/v1/status");
+  addShow(To, Exit, "status", "What a host knows and does.", "/v1/status",
+          printStatus);
   addShow(To, Exit, "history", "Who changed the intent, when, to what.",
-          "/v1/history");
+          "/v1/history", printHistory);
 }
 
 } // namespace carobhinge
--- a/Libraries/LibServe/FleetKeeper.cpp
+++ b/Libraries/LibServe/FleetKeeper.cpp
@@ -41,6 +41,8 @@
 
 static PlannerOptions plannerOptions(const Settings &Own, Peers &Links) {
   PlannerOptions Options;
+  Options.Formation = Own.Policies.Groups;
+  Options.Repair = Own.Policies.Repair;
   Options.FailureDomain = Own.FailureDomain;
   Options.EntryHosts = domainHosts(Own, Links);
   return Options;
--- a/Libraries/LibServe/RouterTable.cpp
+++ b/Libraries/LibServe/RouterTable.cpp
@@ -21,6 +21,13 @@
   Options.Service = Service;
   Options.FailureDomain = Own.FailureDomain;
   Options.Seed = hash64(Own.Host, hash64(Service));
+  Options.Policies = {.Admission = Own.Policies.Admission,
+                      .Choice = Own.Policies.Choice,
+                      .Deadlines = Own.Policies.Deadlines,
+                      .Retries = Own.Policies.Retries,
+                      .Hedges = Own.Policies.Hedges,
+                      .Stragglers = Own.Policies.Stragglers,
+                      .Spillover = Own.Policies.Spillover};
   Options.QueueLimit = static_cast<std::uint32_t>(Own.Bounds.QueuedRequests);
   return Options;
 }
--- a/Meta/CMake/LibServe.cmake
+++ b/Meta/CMake/LibServe.cmake
@@ -18,4 +18,4 @@
   ${CMAKE_SOURCE_DIR}/Carobhinge/StandInCommand.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/OperatorCommands.cpp)
 target_include_directories(carobhinge PRIVATE ${CMAKE_SOURCE_DIR})
-target_link_libraries(carobhinge PRIVATE LibServe LibStandIn)
+target_link_libraries(carobhinge PRIVATE LibServe LibStandIn LibCommands)
