Tests: Keep real processes to their word under faults

Cause: the promises were proved on decision classes only.

Listening on a taken address now names the address. An interrupted harness kills its children.

--- a/Carobhinge/ServeCommand.cpp
+++ b/Carobhinge/ServeCommand.cpp
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 
 #include <Carobhinge/Commands.h>
+#include <LibHTTP/Address.h>
 #include <LibServe/ServerProcess.h>
 #include <LibStore/DataFolder.h>
 #include <LibTelemetry/Log.h>
@@ -66,9 +67,8 @@
   }
   try {
     return serve(Own);
-  } catch (const boost::system::system_error &Error) {
-    std::fprintf(stderr, "carobhinge: an address cannot be bound: %s\n",
-                 Error.what());
+  } catch (const AddressError &Error) {
+    std::fprintf(stderr, "carobhinge: %s\n", Error.what());
     return ExitAddress;
   } catch (const std::exception &Error) {
     std::fprintf(stderr, "carobhinge: %s\n", Error.what());
--- a/Libraries/LibHTTP/Address.cpp
+++ b/Libraries/LibHTTP/Address.cpp
@@ -42,4 +42,14 @@
   return Host + ":" + std::to_string(Endpoint.port());
 }
 
+tcp::acceptor listenAt(const boost::asio::any_io_executor &Executor,
+                       std::string_view Text) {
+  try {
+    return {Executor, parseAddress(Text), /*reuse_addr=*/true};
+  } catch (const boost::system::system_error &Error) {
+    throw AddressError("cannot listen on " + std::string(Text) + ": " +
+                       Error.code().message());
+  }
+}
+
 } // namespace carobhinge
--- a/Libraries/LibHTTP/Address.h
+++ b/Libraries/LibHTTP/Address.h
@@ -9,6 +9,7 @@
 #define LIBHTTP_ADDRESS_H
 
 #include <boost/asio/ip/tcp.hpp>
+#include <stdexcept>
 #include <string_view>
 
 namespace carobhinge {
@@ -19,6 +20,16 @@
 /// The text form of \p Endpoint, which parseAddress() reads back.
 std::string formatAddress(const boost::asio::ip::tcp::endpoint &Endpoint);
 
+/// Binds and listens. \throws AddressError
+boost::asio::ip::tcp::acceptor
+listenAt(const boost::asio::any_io_executor &Executor, std::string_view Text);
+
+/// An address that cannot be listened on; what() names it and the reason.
+class AddressError : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
 } // namespace carobhinge
 
 #endif // LIBHTTP_ADDRESS_H
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -50,8 +50,8 @@
                  HttpHandler Handler)
       : Executor(std::move(Executor)), Options(std::move(Options)),
         Handler(std::move(Handler)),
-        Acceptor(asio::make_strand(this->Executor),
-                 parseAddress(this->Options.Listen), /*reuse_addr=*/true) {}
+        Acceptor(listenAt(asio::make_strand(this->Executor),
+                          this->Options.Listen)) {}
 
   asio::awaitable<void> acceptLoop();
   void closeAcceptor();
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -63,8 +63,7 @@
 
 class HttpServer {
 public:
-  /// Binds at once; throws boost::system::system_error if the address cannot
-  /// be bound.
+  /// Binds at once. \throws AddressError
   HttpServer(boost::asio::any_io_executor Executor, HttpServerOptions Options,
              HttpHandler Handler);
   ~HttpServer();
--- a/Libraries/LibWire/WireServer.cpp
+++ b/Libraries/LibWire/WireServer.cpp
@@ -37,8 +37,7 @@
                  WireOptions Options, HandlerTable Handlers)
       : Executor(std::move(Executor)), Options(std::move(Options)),
         Handlers(std::move(Handlers)),
-        Acceptor(asio::make_strand(this->Executor), parseAddress(Listen),
-                 /*reuse_addr=*/true) {}
+        Acceptor(listenAt(asio::make_strand(this->Executor), Listen)) {}
 
   asio::awaitable<void> acceptLoop();
   asio::awaitable<void> serve(tcp::socket Socket);
--- a/Libraries/LibWire/WireServer.h
+++ b/Libraries/LibWire/WireServer.h
@@ -40,7 +40,7 @@
 
 class WireServer {
 public:
-  /// Binds at once; throws boost::system::system_error if it cannot.
+  /// Binds at once. \throws AddressError
   WireServer(boost::asio::any_io_executor Executor, std::string_view Listen,
              WireOptions Options,
              std::map<std::string, WireHandler, std::less<>> Handlers);
--- a/Meta/CMake/Processes.cmake
+++ b/Meta/CMake/Processes.cmake
@@ -9,9 +9,12 @@
   ProcessHarness
   PUBLIC CAROBHINGE_SOURCE_FOLDER="${CMAKE_SOURCE_DIR}"
          CAROBHINGE_BINARY="$<TARGET_FILE:carobhinge>")
-target_link_libraries(ProcessHarness PUBLIC LibHTTP LibStandIn)
+target_link_libraries(ProcessHarness PUBLIC LibHTTP LibStandIn LibCommands)
 add_dependencies(ProcessHarness carobhinge)
 
 add_executable(Demonstration
                ${CMAKE_SOURCE_DIR}/Tests/Processes/Demonstration.cpp)
 target_link_libraries(Demonstration PRIVATE ProcessHarness)
+
+carobhinge_test(Carobhinge ProcessHarness)
+set_tests_properties(Carobhinge PROPERTIES PROCESSORS 4 TIMEOUT 900)
--- /dev/null
+++ b/Tests/Carobhinge/TestCommandLine.cpp
@@ -0,0 +1,137 @@
+//===- Tests/Carobhinge/TestCommandLine.cpp - Errors a newcomer meets -----===//
+///
+/// \file
+/// Each common mistake has a clear message and an exit code of its own.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibCommands/CommandResult.h>
+#include <LibHTTP/Address.h>
+#include <Processes/ChildProcess.h>
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <filesystem>
+#include <fstream>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+using namespace carobhinge;
+using ::testing::HasSubstr;
+namespace json = boost::json;
+
+namespace {
+
+class CommandLine : public ::testing::Test {
+protected:
+  CommandLine() {
+    std::string Pattern =
+        (std::filesystem::temp_directory_path() / "carobhinge-XXXXXX").string();
+    this->Folder = mkdtemp(Pattern.data());
+    json::object Listen;
+    for (const char *Name : {"callers", "endpoints", "operators", "peers"})
+      Listen[Name] = freeAddress();
+    this->Settings["cluster"] = "delta-north";
+    this->Settings["host"] = "tanta-a-1";
+    this->Settings["failure_domain"] = "tanta-a";
+    this->Settings["region"] = "delta-north";
+    this->Settings["roles"] = json::array{"entry", "control"};
+    this->Settings["listen"] = Listen;
+    this->Settings["peers"] = json::array();
+    this->Settings["data_folder"] = (this->Folder / "data").string();
+    std::filesystem::create_directories(this->Folder / "data");
+  }
+  ~CommandLine() override { std::filesystem::remove_all(this->Folder); }
+
+  static std::string freeAddress() {
+    boost::asio::io_context Context;
+    boost::asio::ip::tcp::acceptor Acceptor(Context,
+                                            parseAddress("127.0.0.1:0"));
+    return formatAddress(Acceptor.local_endpoint());
+  }
+
+  /// Runs the binary to its end. The output is in this->Output.
+  int run(std::vector<std::string> Arguments) {
+    std::string Log = (this->Folder / "output").string();
+    std::filesystem::remove(Log);
+    ChildProcess Process(CAROBHINGE_BINARY, std::move(Arguments), Log);
+    int Exit = Process.wait(std::chrono::seconds(60)).value_or(-1);
+    std::ifstream File(Log);
+    this->Output.assign(std::istreambuf_iterator<char>(File), {});
+    return Exit;
+  }
+
+  int serve() {
+    std::string Path = (this->Folder / "settings.json").string();
+    std::ofstream(Path) << json::serialize(this->Settings);
+    return this->run({"serve", "--settings", Path});
+  }
+
+  std::filesystem::path Folder;
+  json::object Settings;
+  std::string Output;
+};
+
+} // namespace
+
+TEST_F(CommandLine, EveryFindingOfTheSettingsIsReportedAtOnce) {
+  this->Settings["failure_domian"] = "tanta-a";
+  this->Settings.erase("failure_domain");
+  this->Settings["threads"] = -1;
+  EXPECT_EQ(this->serve(), ExitUsage);
+  EXPECT_THAT(this->Output, HasSubstr("/failure_domain: expected"));
+  EXPECT_THAT(this->Output, HasSubstr("did you mean \"failure_domain\"?"));
+  EXPECT_THAT(this->Output, HasSubstr("/threads: expected"));
+}
+
+TEST_F(CommandLine, MissingSettingsFileIsNamed) {
+  EXPECT_EQ(this->run({"serve", "--settings", "no-such-file"}), ExitUsage);
+  EXPECT_THAT(this->Output, HasSubstr("no-such-file"));
+}
+
+TEST_F(CommandLine, UnknownCommandIsAUsageError) {
+  EXPECT_EQ(this->run({"sreve"}), ExitUsage);
+}
+
+TEST_F(CommandLine, AddressInUseIsNamed) {
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::acceptor Taken(Context, parseAddress("127.0.0.1:0"));
+  std::string Address = formatAddress(Taken.local_endpoint());
+  this->Settings["listen"].as_object()["callers"] = Address;
+  EXPECT_EQ(this->serve(), ExitAddress);
+  EXPECT_THAT(this->Output, HasSubstr(Address));
+}
+
+TEST_F(CommandLine, DataFolderThatCannotBeUsedIsNamed) {
+  this->Settings["data_folder"] = "/proc/no-such-folder";
+  EXPECT_EQ(this->serve(), ExitDataFolder);
+  EXPECT_THAT(this->Output, HasSubstr("/proc/no-such-folder"));
+}
+
+TEST_F(CommandLine, DataFolderOfAnotherClusterIsRefused) {
+  // Starting fails at the taken address, after the folder was marked.
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::acceptor Taken(Context, parseAddress("127.0.0.1:0"));
+  json::value Free = this->Settings["listen"].as_object()["callers"];
+  this->Settings["listen"].as_object()["callers"] =
+      formatAddress(Taken.local_endpoint());
+  ASSERT_EQ(this->serve(), ExitAddress);
+  this->Settings["listen"].as_object()["callers"] = Free;
+  this->Settings["cluster"] = "biobio";
+  EXPECT_EQ(this->serve(), ExitDataFolder);
+  EXPECT_THAT(this->Output, HasSubstr("delta-north"));
+}
+
+TEST_F(CommandLine, UnreachableHostIsAnExitCodeOfItsOwn) {
+  EXPECT_EQ(this->run({"status", "--address", freeAddress()}), ExitUnreachable);
+}
+
+TEST_F(CommandLine, CheckReportsTheExamplesAsClean) {
+  std::string Examples = std::string(CAROBHINGE_SOURCE_FOLDER) + "/Examples";
+  EXPECT_EQ(this->run({"check", Examples + "/trust/intent.json"}), ExitSuccess);
+  EXPECT_EQ(this->run({"check", Examples + "/servicio/intent.json"}),
+            ExitSuccess);
+  EXPECT_EQ(this->run({"check", "--json",
+                       CAROBHINGE_SOURCE_FOLDER "/CMakeLists.txt"}),
+            ExitRefused);
+  EXPECT_TRUE(json::parse(this->Output).at("findings").is_array());
+}
--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -7,6 +7,8 @@
 
 #include <Processes/ChildProcess.h>
 
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <fcntl.h>
 #include <spawn.h>
@@ -18,6 +20,32 @@
 namespace carobhinge {
 
 static constexpr auto PollInterval = std::chrono::milliseconds(5);
+static constexpr std::size_t MaxChildren = 512;
+static constexpr int InterruptedExit = 130;
+
+/// Ids of the children that run; zero is a free place. Read by a signal
+/// handler, hence no lock.
+static std::array<std::atomic<pid_t>, MaxChildren> Children;
+
+static void replaceChild(pid_t Old, pid_t New) {
+  for (std::atomic<pid_t> &Place : Children) {
+    pid_t Expected = Old;
+    if (Place.compare_exchange_strong(Expected, New))
+      return;
+  }
+}
+
+static void killChildren(int) {
+  for (const std::atomic<pid_t> &Place : Children)
+    if (pid_t Id = Place; Id > 0)
+      kill(Id, SIGKILL);
+  _exit(InterruptedExit);
+}
+
+void ChildProcess::killAllWhenInterrupted() {
+  for (int Number : {SIGTERM, SIGINT, SIGHUP})
+    std::signal(Number, killChildren);
+}
 
 ChildProcess::ChildProcess(const std::string &Binary,
                            std::vector<std::string> Arguments,
@@ -37,6 +65,7 @@
   posix_spawn_file_actions_destroy(&Actions);
   if (Error != 0)
     throw std::runtime_error(Binary + " cannot be started");
+  replaceChild(0, this->Id);
 }
 
 ChildProcess::~ChildProcess() {
@@ -44,6 +73,7 @@
     return;
   this->signal(SIGKILL);
   waitpid(this->Id, nullptr, 0);
+  replaceChild(this->Id, 0);
 }
 
 void ChildProcess::signal(int Number) const {
@@ -55,6 +85,7 @@
   int Status = 0;
   if (this->Ended || waitpid(this->Id, &Status, WNOHANG) != this->Id)
     return this->Ended.has_value();
+  replaceChild(this->Id, 0);
   this->Ended = WIFEXITED(Status) ? WEXITSTATUS(Status) : -WTERMSIG(Status);
   return true;
 }
--- a/Tests/Processes/ChildProcess.h
+++ b/Tests/Processes/ChildProcess.h
@@ -26,6 +26,10 @@
   ChildProcess(const ChildProcess &) = delete;
   ChildProcess &operator=(const ChildProcess &) = delete;
 
+  /// Makes SIGTERM, SIGINT and SIGHUP kill every child before this process
+  /// ends, so that an interrupted run leaves none behind.
+  static void killAllWhenInterrupted();
+
   void signal(int Number) const;
   /// The exit code, or minus the signal's number; empty after the time.
   std::optional<int> wait(std::chrono::milliseconds AtMost);
--- a/Tests/Processes/Demonstration.cpp
+++ b/Tests/Processes/Demonstration.cpp
@@ -69,6 +69,7 @@
 }
 
 int main() {
+  ChildProcess::killAllWhenInterrupted();
   try {
     auto Seed = static_cast<std::uint64_t>(time(nullptr));
     LoadCounts First = demonstrate(trustPlan(), Seed);
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -92,21 +92,49 @@
   }
 }
 
-std::string Deployment::putLinkBetween(const std::string &Host,
-                                       const std::string &To) {
+void Deployment::putLinkBetween(const std::string &Host,
+                                const HostAddresses &To) {
   std::string Listen = this->freshAddress();
-  std::string Control = this->freshAddress();
-  for (const HostAddresses &Each : this->Hosts)
-    if (Each.Host == To)
-      this->Processes["link-" + Host + "-" + To] =
-          std::make_unique<ChildProcess>(
-              CAROBHINGE_BINARY,
-              std::vector<std::string>{"standin", "link", "--listen", Listen,
-                                       "--to", Each.Peers, "--control",
-                                       Control},
-              this->file("links.log"));
-  this->LinkAddresses[{Host, To}] = Listen;
-  return Control;
+  this->LinkControls.push_back(this->freshAddress());
+  std::vector<std::string> Arguments{
+      "standin", "link",   "--listen",  Listen,
+      "--to",    To.Peers, "--control", this->LinkControls.back()};
+  this->Processes["link-" + Host + "-" + To.Host] =
+      std::make_unique<ChildProcess>(CAROBHINGE_BINARY, std::move(Arguments),
+                                     this->file("links.log"));
+  this->LinkAddresses[{Host, To.Host}] = Listen;
+}
+
+void Deployment::putLinksAround(const std::string &FailureDomain) {
+  for (const HostAddresses &From : this->Hosts)
+    for (const HostAddresses &To : this->Hosts)
+      if ((From.FailureDomain == FailureDomain) !=
+          (To.FailureDomain == FailureDomain))
+        this->putLinkBetween(From.Host, To);
+}
+
+void Deployment::setLinks(const std::string &Mode) {
+  for (const std::string &Control : this->LinkControls) {
+    HttpRequest Request{.Method = "POST",
+                        .Target = "/link",
+                        .Body = "{\"mode\":\"" + Mode + "\"}"};
+    if (blockingFetch(Control, std::move(Request)).Head.Status != 200)
+      throw std::runtime_error("a link stand-in does not answer");
+  }
+}
+
+bool Deployment::takeOut(const std::string &FailureDomain, unsigned Base) {
+  std::ifstream Source(std::string(CAROBHINGE_SOURCE_FOLDER) + "/" +
+                       this->Plan.Intent);
+  std::string Text{std::istreambuf_iterator<char>(Source), {}};
+  json::value Intent = json::parse(Text);
+  for (json::value &Each : Intent.at("failure_domains").as_array())
+    Each.as_object()["out"] = Each.at("name").as_string() == FailureDomain;
+  std::string Path = this->file("intent-" + std::to_string(Base) + ".json");
+  std::ofstream(Path) << json::serialize(Intent);
+  return this->command({"apply", Path, "--base", std::to_string(Base),
+                        "--operator", "test", "--address",
+                        this->Hosts.front().Operators}) == 0;
 }
 
 json::object Deployment::peerEntry(const HostAddresses &From,
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -77,11 +77,17 @@
   /// The index in hosts() of the leader of the control log.
   std::size_t leader();
 
-  /// Sends \p Host's messages to the peer \p To through a faulty link. To be
-  /// called before start(). Returns the link's control address.
-  std::string putLinkBetween(const std::string &Host, const std::string &To);
+  /// Puts links between the hosts of \p FailureDomain and all others. To be
+  /// called before start().
+  void putLinksAround(const std::string &FailureDomain);
+  /// Sets the mode of all links: "pass", "cut" or "stall".
+  void setLinks(const std::string &Mode);
+  /// Applies the plan's intent with \p FailureDomain out, on \p Base.
+  bool takeOut(const std::string &FailureDomain, unsigned Base);
 
 private:
+  /// Sends \p Host's messages to the peer \p To through a faulty link.
+  void putLinkBetween(const std::string &Host, const HostAddresses &To);
   std::string freshAddress();
   [[nodiscard]] boost::json::object peerEntry(const HostAddresses &From,
                                               const HostAddresses &To) const;
@@ -97,7 +103,9 @@
   std::filesystem::path Folder;
   std::vector<HostAddresses> Hosts;
   std::vector<std::string> ServiceAddresses;
+  /// By sending and receiving host.
   std::map<std::pair<std::string, std::string>, std::string> LinkAddresses;
+  std::vector<std::string> LinkControls;
   std::map<std::string, std::unique_ptr<ChildProcess>> Processes;
 };
 
