--- a/Libraries/LibFleet/EndpointDirectory.cpp
+++ b/Libraries/LibFleet/EndpointDirectory.cpp
@@ -16,15 +16,17 @@
     : Options(std::move(Options)),
       Share(this->Options.Self, this->Options.EntryHosts,
             this->Options.EntryHostsOverlap),
-      HeardEntryHosts(this->Options.EntryHosts) {}
+      WarmShare(this->Options.Self, this->Options.EntryHosts,
+                Duration::zero()) {}
 
 void EndpointDirectory::entryHostsChanged(TimePoint Now,
                                           std::vector<HostName> EntryHosts) {
   this->Share.entryHostsChanged(Now, std::move(EntryHosts));
 }
 
-void EndpointDirectory::entryHostsHeard(std::vector<HostName> Heard) {
-  this->HeardEntryHosts = std::move(Heard);
+void EndpointDirectory::entryHostsHeard(TimePoint Now,
+                                        std::vector<HostName> Heard) {
+  this->WarmShare.entryHostsChanged(Now, std::move(Heard));
 }
 
 bool EndpointDirectory::announced(TimePoint Now, const Announcement &Said,
@@ -174,8 +176,7 @@
                                        const Summary &Members) const {
   std::uint32_t Limit = Front.Said.BatchLimit;
   if (!For.WarmingUp)
-    return dealtSlots(For.Name, For.Life, Limit, this->Options.Self,
-                      this->HeardEntryHosts);
+    return this->WarmShare.share(Now, For.Name, For.Life, Limit);
   auto Service = this->Intent.Services.find(For.Service);
   std::uint32_t Initial = Service == this->Intent.Services.end()
                               ? FleetService().WarmUpBudget
--- a/Libraries/LibFleet/EndpointDirectory.h
+++ b/Libraries/LibFleet/EndpointDirectory.h
@@ -49,7 +49,7 @@
   void entryHostsChanged(TimePoint Now, std::vector<HostName> EntryHosts);
   /// The entry hosts that can be heard now, this one included: the batching
   /// limit of a warm target is split between them.
-  void entryHostsHeard(std::vector<HostName> Heard);
+  void entryHostsHeard(TimePoint Now, std::vector<HostName> Heard);
 
   /// \p Age is zero for an announcement made to this host and the relay's age
   /// otherwise. False if it was old news or of another failure domain: then it
@@ -90,14 +90,15 @@
   Target makeTarget(TimePoint Now, std::string Name, Incarnation Life,
                     const HeardAnnouncement &Front,
                     const Summary &Members) const;
-  [[nodiscard]] std::uint32_t slots(TimePoint Now, const Target &For,
-                                    const HeardAnnouncement &Front,
-                                    const Summary &Members) const;
+  std::uint32_t slots(TimePoint Now, const Target &For,
+                      const HeardAnnouncement &Front,
+                      const Summary &Members) const;
 
   DirectoryOptions Options;
   FleetIntent Intent;
   WarmUpShare Share;
-  std::vector<HostName> HeardEntryHosts;
+  /// Splits the batching limit of warm targets between the hosts heard.
+  WarmUpShare WarmShare;
   AnnouncementTable Table;
   std::unordered_map<EndpointName, EndpointLife> Lives;
   std::map<ServiceName, std::set<EndpointName>> EndpointsOf;
