--- a/Tests/ScenarioLanguage/TestScenario.cpp
+++ b/Tests/ScenarioLanguage/TestScenario.cpp
@@ -88,6 +88,8 @@
       std::filesystem::path(CAROBHINGE_SOURCE_FOLDER) / "Tests/Scenarios";
   for (const auto &Each : std::filesystem::directory_iterator(Folder)) {
     std::string Name = Each.path().filename().string();
-    EXPECT_TRUE(Name.starts_with("State") || Name.starts_with("Fleet")) << Name;
+    EXPECT_TRUE(Name.starts_with("State") || Name.starts_with("Fleet") ||
+                Name.starts_with("Routing"))
+        << Name;
   }
 }
