LibSettings: Follow the renamed straggler policy; LibIntent: Test the tree

LibRouting renamed its straggler policy from peer-median to peer-mean; PolicyNames.AreThoseOfTheLibraries failed after the merge ("no straggler policy named peer-median") and settings would have chosen a policy that does not exist.

New: the tree that settings give, and a property over its shape (one root, bounded fan-out, no host asks one behind it in its domain).

--- a/Libraries/LibSettings/PolicyNames.h
+++ b/Libraries/LibSettings/PolicyNames.h
@@ -25,7 +25,7 @@
                                                     "unlimited"};
 inline constexpr PolicyNames<3> HedgePolicyNames = {"budgeted", "none",
                                                     "unlimited"};
-inline constexpr PolicyNames<2> StragglerPolicyNames = {"peer-median", "none"};
+inline constexpr PolicyNames<2> StragglerPolicyNames = {"peer-mean", "none"};
 inline constexpr PolicyNames<2> SpilloverPolicyNames = {"spare-capacity",
                                                         "none"};
 inline constexpr PolicyNames<2> GroupPolicyNames = {"loaded-rank",
--- /dev/null
+++ b/Tests/LibIntent/TestDisseminationTree.cpp
@@ -0,0 +1,63 @@
+//===- Tests/LibIntent/TestDisseminationTree.cpp - Whom a host asks -------===//
+///
+/// \file
+/// The tree that settings give: one root in each failure domain, bounded
+/// fan-out, and nobody inside the domain asks a host that stands behind it.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibIntent/DisseminationSettings.h>
+#include <algorithm>
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <map>
+#include <rapidcheck/gtest.h>
+
+using namespace carobhinge;
+using testing::ElementsAre;
+
+static Peer peer(const HostName &Host, const FailureDomainName &Domain,
+                 bool Control) {
+  return {.Host = Host,
+          .FailureDomain = Domain,
+          .Region = "r",
+          .Address = {},
+          .Does = {.Entry = true, .Control = Control}};
+}
+
+TEST(DisseminationTree, SettingsGiveControlHostsTheFirstPlaces) {
+  Settings Own;
+  Own.Host = "a2";
+  Own.FailureDomain = "a";
+  Own.Times.IntentPoll = std::chrono::seconds(2);
+  Own.Times.CutOff = std::chrono::seconds(20);
+  Own.Peers = {peer("a1", "a", false), peer("a3", "a", true),
+               peer("b1", "b", false), peer("b2", "b", true)};
+  DisseminationOptions Result = disseminationOptions(Own, {.FanOut = 1});
+  // In order a3 (control), a1, a2: this host comes last and asks a1 first.
+  EXPECT_THAT(Result.Parents, ElementsAre("a1", "a3", "b2"));
+  EXPECT_THAT(Result.DomainPeers, ElementsAre("a1", "a3"));
+  EXPECT_EQ(Result.PollInterval, std::chrono::seconds(2));
+  EXPECT_EQ(Result.CutOffAfter, std::chrono::seconds(20));
+  Own.Peers.clear();
+  EXPECT_TRUE(disseminationOptions(Own).Parents.empty());
+}
+
+RC_GTEST_PROP(DisseminationTree, HasOneRootBoundedFanOutAndNoCycle, ()) {
+  TreeShape Shape{.FanOut = *rc::gen::inRange<std::size_t>(1, 10)};
+  TreeMembers Members{.Self = "", .Domain = {}, .OtherControl = {"x", "y"}};
+  auto Count = *rc::gen::inRange<std::size_t>(1, 100);
+  for (std::size_t I = 0; I < Count; ++I)
+    Members.Domain.push_back("h" + std::to_string(I));
+  std::map<HostName, std::size_t> Children;
+  for (std::size_t Rank = 0; Rank < Count; ++Rank) {
+    Members.Self = Members.Domain[Rank];
+    std::vector<HostName> Parents = parentCandidates(Members, Shape);
+    for (std::size_t Later = Rank; Later < Count; ++Later)
+      RC_ASSERT(std::ranges::count(Parents, Members.Domain[Later]) == 0);
+    bool FirstInside = std::ranges::count(Members.Domain, Parents.front()) > 0;
+    RC_ASSERT(FirstInside == (Rank > 0));
+    if (FirstInside)
+      RC_ASSERT(++Children[Parents.front()] <= Shape.FanOut);
+  }
+}
