Matrix: Cut a host from one voter only

With the rule removed that a voter which hears a leader votes for nobody, the matrix stayed green: its cut parted a host from all others, so a candidate never met a voter that still heard the leader. The new fault parts a host from one voter.

--- a/Tests/Matrix/StateScripts.cpp
+++ b/Tests/Matrix/StateScripts.cpp
@@ -29,9 +29,10 @@
 /// How often invariants are looked at.
 constexpr Duration Slice = milliseconds(20);
 
-constexpr std::array<std::string_view, 9> Faults = {
-    "kill", "kill-restart", "lose-disk", "freeze", "cut",
-    "drop", "duplicate",    "delay",     "stall"};
+/// A "cut" host hears nobody; a "cut-pair" is cut from one voter only.
+constexpr std::array<std::string_view, 10> Faults = {
+    "kill",     "kill-restart", "lose-disk", "freeze", "cut",
+    "cut-pair", "drop",         "duplicate", "delay",  "stall"};
 
 /// One run of a script: its world, its faults and what it showed.
 class Cell {
@@ -182,6 +183,13 @@
   }
 
   void strikeLinks(std::string_view Fault, const HostName &Host) {
+    if (Fault == "cut-pair") {
+      HostName Voter = Host == "a1" ? "b1" : Host == "b1" ? "c1" : "a1";
+      this->World.cut(Host, Voter, true);
+      this->later(Outage,
+                  [this, Host, Voter] { this->World.cut(Host, Voter, false); });
+      return;
+    }
     LinkFaults Link;
     Link.Cut = Fault == "cut";
     Link.DropPercent = Fault == "drop" ? 100 : 0;
