--- a/Tests/LibSettings/TestSettings.cpp
+++ b/Tests/LibSettings/TestSettings.cpp
@@ -8,6 +8,7 @@
 
 #include <LibSettings/SettingRows.h>
 #include <boost/json.hpp>
+#include <fstream>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -38,7 +39,7 @@
   EXPECT_EQ(Read.Times.Drain, std::chrono::milliseconds(1500));
   EXPECT_EQ(Read.Times.Heartbeat, std::chrono::milliseconds(100));
   EXPECT_EQ(Read.LedgerShards, 2);
-  EXPECT_EQ(Read.Policies.Admission, "weighted-fair");
+  EXPECT_EQ(Read.Policies.Admission, "fair");
   EXPECT_EQ(Read.Log.Level, "info");
 }
 
@@ -93,7 +94,7 @@
       {"/data_folder", "", "/data_folder: expected a folder"},
       {"/threads", "0", "/threads: expected an integer from 1 to 256, found 0"},
       {"/policies", R"({"choice": "best"})",
-       "/policies/choice: expected one of least-work round-robin"},
+       "/policies/choice: expected one of prefix-affinity two-choices"},
       {"/limits", R"({"body_byte": 5000})",
        "/limits/body_byte: expected a known member (did you mean "
        "\"body_bytes\"?)"},
@@ -139,3 +140,20 @@
     EXPECT_LE(Row.NumberDefault, Row.Range.Most) << Row.Name;
   }
 }
+
+/// On a failure, put the printed table into the page.
+TEST(Settings, ThePageHoldsTheTable) {
+  std::ifstream File(CAROBHINGE_SOURCE_FOLDER "/docs/SETTINGS.md");
+  std::string Page((std::istreambuf_iterator<char>(File)), {});
+  EXPECT_NE(Page.find(settingsMarkdown()), std::string::npos)
+      << settingsMarkdown();
+}
+
+TEST(Settings, ThePagesExampleIsGood) {
+  std::ifstream File(CAROBHINGE_SOURCE_FOLDER "/docs/SETTINGS.md");
+  std::string Page((std::istreambuf_iterator<char>(File)), {});
+  std::size_t Begin = Page.find("```json\n") + 8;
+  Findings Found;
+  parseSettings(Page.substr(Begin, Page.find("```", Begin) - Begin), Found);
+  EXPECT_EQ(Found.report(), "");
+}
