LibServe: Prune, keep the workspaces' queue limits, and answer soon without a ledger

Cause: nothing proposed LedgerPrune, so dated records were kept for ever; the workspaces' queue limits of the intent reached no router; summaries between failure domains lacked the time a slot is held; every target list was told anew where only load had changed; the ledger's body bound came from each host's own settings although it is part of the replicated state's rules; and every call in a failure domain without a quorum waited two seconds.

Change: each of these; after one question that met no leader within its bound, further ones give up after 200 ms until the log answers again. The setting outcome_bytes is gone, LedgerState too, since Ledger is a state machine itself now.

--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -69,9 +69,15 @@
   this->pump(Now);
 }
 
+std::uint32_t Router::queueLimit(const WorkspaceName &Of) const {
+  auto Found = this->QueueLimits.find(Of);
+  return Found == this->QueueLimits.end() ? this->Options.QueueLimit
+                                          : Found->second;
+}
+
 /// True if the request may wait. A less urgent one may have to go for it.
 bool Router::makeRoom(TimePoint Now, const RoutedRequest &Request) {
-  if (this->Queue->waitingBeside(Request) < this->Options.QueueLimit)
+  if (this->Queue->waitingBeside(Request) < this->queueLimit(Request.Workspace))
     return true;
   std::optional<RequestId> Loser = this->Queue->displaceable(Request);
   if (!Loser)
@@ -154,6 +160,10 @@
   this->Queue->weightsChanged(Weights);
 }
 
+void Router::queueLimitsChanged(std::map<WorkspaceName, std::uint32_t> Limits) {
+  this->QueueLimits = std::move(Limits);
+}
+
 void Router::callerGone(TimePoint Now, RequestId Request) {
   auto Entry = this->Live.find(Request);
   if (Entry == this->Live.end())
--- a/Libraries/LibRouting/Router.h
+++ b/Libraries/LibRouting/Router.h
@@ -45,6 +45,8 @@
   void neighboursChanged(TimePoint Now,
                          std::span<const DomainSummary> Summaries);
   void weightsChanged(const std::map<WorkspaceName, double> &Weights);
+  /// Limits that take the place of RouterOptions::QueueLimit.
+  void queueLimitsChanged(std::map<WorkspaceName, std::uint32_t> Limits);
 
   /// The target answered the attempt with its first byte.
   void firstByte(TimePoint Now, AttemptId Attempt);
@@ -99,6 +101,7 @@
   using LiveEntry = std::unordered_map<RequestId, LiveRequest>::iterator;
 
   void enqueue(TimePoint Now, LiveRequest &Live);
+  [[nodiscard]] std::uint32_t queueLimit(const WorkspaceName &Of) const;
   bool makeRoom(TimePoint Now, const RoutedRequest &Request);
   void dequeue(LiveRequest &Live);
   void pump(TimePoint Now);
@@ -131,6 +134,7 @@
                                     const RoutedRequest &Request);
 
   RouterOptions Options;
+  std::map<WorkspaceName, std::uint32_t> QueueLimits;
   std::unique_ptr<AdmissionQueue> Queue;
   std::unique_ptr<TargetChoice> Choice;
   std::unique_ptr<DeadlinePolicy> Deadlines;
--- a/Libraries/LibServe/ControlClient.cpp
+++ b/Libraries/LibServe/ControlClient.cpp
@@ -20,6 +20,10 @@
 
 /// Between two questions, so that an election is not drowned in them.
 static constexpr auto AskAgainAfter = std::chrono::milliseconds(40);
+/// How long is asked while the log was not to be reached the last time: its
+/// callers get their answer at once instead of waiting for an election that
+/// does not come.
+static constexpr Duration UnreachableBound = std::chrono::milliseconds(200);
 
 ControlClient::ControlClient(const Settings &Own, Peers &Links,
                              ControlHost *Local)
@@ -28,6 +32,7 @@
   const std::vector<HostName> &Hosts = Links.controlHosts();
   HostName First = Hosts.empty() ? HostName() : Hosts.front();
   this->Leaders.assign(FirstLedgerLog + this->Shards, First);
+  this->Unreachable.assign(FirstLedgerLog + this->Shards, false);
 }
 
 HostName ControlClient::candidate(std::uint32_t Log) const {
@@ -35,6 +40,16 @@
   return this->Leaders.at(Log);
 }
 
+Duration ControlClient::boundFor(std::uint32_t Log, Duration Asked) const {
+  std::lock_guard Guard(this->Lock);
+  return this->Unreachable.at(Log) ? std::min(Asked, UnreachableBound) : Asked;
+}
+
+void ControlClient::noteReached(std::uint32_t Log, bool Reached) {
+  std::lock_guard Guard(this->Lock);
+  this->Unreachable.at(Log) = !Reached;
+}
+
 /// Follows the hint of the asked host, or moves on to the next control host.
 void ControlClient::noteLeader(std::uint32_t Log, const HostName &Asked,
                                const HostName &Hint) {
@@ -70,7 +85,7 @@
 asio::awaitable<Result> ControlClient::ask(std::uint32_t Log,
                                            std::string Method, Message Call,
                                            Duration Bound) {
-  TimePoint Deadline = monotonicNow() + Bound;
+  TimePoint Deadline = monotonicNow() + this->boundFor(Log, Bound);
   asio::steady_timer Pause(co_await asio::this_coro::executor);
   Result Answer;
   Answer.set_status(message::LOG_NOT_LEADER);
@@ -91,14 +106,17 @@
                               ? message::LOG_NOT_LEADER
                               : message::LOG_LOST);
     }
-    if (Answer.status() == message::LOG_COMMITTED)
+    if (Answer.status() == message::LOG_COMMITTED) {
+      this->noteReached(Log, true);
       co_return Answer;
+    }
     this->noteLeader(Log, Asked, Answer.leader());
     if (Answer.status() == message::LOG_LOST)
       co_return Answer;
     Pause.expires_after(AskAgainAfter);
     co_await Pause.async_wait(asio::as_tuple(asio::use_awaitable));
   }
+  this->noteReached(Log, false);
   co_return Answer;
 }
 
@@ -120,14 +138,15 @@
   *Call.mutable_key() = std::move(Key);
   Call.set_content_digest(std::move(ContentDigest));
   TimePoint Deadline = monotonicNow() + Bound;
+  message::OpenResult Result;
   // A lost read changed nothing and may be repeated.
-  while (monotonicNow() < Deadline) {
-    auto Result = co_await this->ask<message::OpenResult>(
-        Log, "control.open", Call, Deadline - monotonicNow());
-    if (Result.status() == message::LOG_COMMITTED)
-      co_return Result.reply();
-  }
-  co_return std::nullopt;
+  do {
+    Result = co_await this->ask<message::OpenResult>(Log, "control.open", Call,
+                                                     Deadline - monotonicNow());
+  } while (Result.status() == message::LOG_LOST && monotonicNow() < Deadline);
+  if (Result.status() != message::LOG_COMMITTED)
+    co_return std::nullopt;
+  co_return Result.reply();
 }
 
 asio::awaitable<std::optional<message::LedgerReply>>
--- a/Libraries/LibServe/ControlClient.h
+++ b/Libraries/LibServe/ControlClient.h
@@ -40,6 +40,8 @@
 
 private:
   [[nodiscard]] HostName candidate(std::uint32_t Log) const;
+  [[nodiscard]] Duration boundFor(std::uint32_t Log, Duration Asked) const;
+  void noteReached(std::uint32_t Log, bool Reached);
   void noteLeader(std::uint32_t Log, const HostName &Asked,
                   const HostName &Hint);
 
@@ -60,6 +62,8 @@
   mutable std::mutex Lock;
   /// The host asked first, by log.
   std::vector<HostName> Leaders;
+  /// Whether the last question to the log met no leader within its bound.
+  std::vector<bool> Unreachable;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibServe/ControlHost.cpp
+++ b/Libraries/LibServe/ControlHost.cpp
@@ -41,6 +41,9 @@
                           const message::ConsensusMessage &Message) {
     Links.post(To, "consensus", Message.SerializeAsString());
   };
+  Options.Timings.Heartbeat = Own.Times.Heartbeat;
+  Options.Timings.ElectionLeast = Own.Times.Election;
+  Options.Timings.ElectionMost = 2 * Own.Times.Election;
   Options.Machine = &Machine;
   // Another one in each life of the host.
   Options.Seed = hash64(
@@ -68,10 +71,10 @@
       Control(this->Callbacks.IntentAccepted) {
   this->Logs.push_back(std::make_unique<LogDriver>(
       logOptions(Own, Links, this->Folder, ControlLog, this->Control)));
-  LedgerLimits Limits{.BodyBytes =
-                          static_cast<std::size_t>(Own.Bounds.OutcomeBytes)};
+  // The same on every voter, whatever its settings: part of the state's rules.
+  LedgerLimits Limits;
   for (std::int64_t Shard = 0; Shard < Own.LedgerShards; ++Shard) {
-    this->Ledgers.push_back(std::make_unique<LedgerState>(Limits));
+    this->Ledgers.push_back(std::make_unique<Ledger>(Limits));
     auto Number = FirstLedgerLog + static_cast<std::uint32_t>(Shard);
     this->Logs.push_back(std::make_unique<LogDriver>(
         logOptions(Own, Links, this->Folder, Number, *this->Ledgers.back())));
@@ -122,9 +125,9 @@
       message::OpenResult Result;
       Result.set_status(toMessage(Read.Status));
       Result.set_leader(Read.LeaderHint);
-      if (const auto *State = dynamic_cast<const LedgerState *>(Read.Machine))
-        *Result.mutable_reply() = State->records().open(
-            Call.key(), Call.content_digest(), Read.AppliedIndex);
+      if (const auto *State = dynamic_cast<const Ledger *>(Read.Machine))
+        *Result.mutable_reply() =
+            State->open(Call.key(), Call.content_digest(), Read.AppliedIndex);
       Done(std::move(Result));
     });
   };
@@ -247,6 +250,17 @@
   }
 }
 
+void ControlHost::prune(const ServiceName &Service,
+                        std::uint32_t RetentionDays) {
+  message::LedgerCommand Command;
+  Command.mutable_prune()->set_service(Service);
+  Command.mutable_prune()->set_retention_days(RetentionDays);
+  std::string Bytes = Command.SerializeAsString();
+  for (std::size_t I = FirstLedgerLog; I < this->Logs.size(); ++I)
+    if (this->Logs[I]->status().Current == Role::Leader)
+      this->Logs[I]->propose(Bytes, [](const ProposalResult &) {});
+}
+
 std::vector<LogStatus> ControlHost::status() const {
   std::vector<LogStatus> Result;
   for (const auto &Each : this->Logs)
--- a/Libraries/LibServe/ControlHost.h
+++ b/Libraries/LibServe/ControlHost.h
@@ -11,8 +11,8 @@
 
 #include <LibConsensus/LogDriver.h>
 #include <LibFleet/PlannerWatch.h>
+#include <LibLedger/Ledger.h>
 #include <LibServe/ControlState.h>
-#include <LibServe/LedgerState.h>
 #include <LibServe/Peers.h>
 #include <LibServe/Serve.pb.h>
 #include <LibStore/DataFolder.h>
@@ -57,6 +57,10 @@
   /// confirms that the intent is current.
   void tick();
 
+  /// Proposes, where this host leads a ledger shard, to forget the service's
+  /// dated records beyond \p RetentionDays.
+  void prune(const ServiceName &Service, std::uint32_t RetentionDays);
+
   [[nodiscard]] std::vector<LogStatus> status() const;
   void transferLeadership();
   /// Whether this host leads any log.
@@ -72,7 +76,7 @@
   PosixDisk Files;
   DataFolder Folder;
   ControlState Control;
-  std::vector<std::unique_ptr<LedgerState>> Ledgers;
+  std::vector<std::unique_ptr<Ledger>> Ledgers;
   /// By log number.
   std::vector<std::unique_ptr<LogDriver>> Logs;
 
--- a/Libraries/LibServe/Neighbours.cpp
+++ b/Libraries/LibServe/Neighbours.cpp
@@ -43,6 +43,9 @@
     Sum.Service = Service;
     Sum.SpareSlots += Item->spare_slots();
     Sum.Queued += Item->queued();
+    // The slowest host's time, so that no more is sent than all can take.
+    Duration SlotTime = std::chrono::nanoseconds(Item->slot_time_ns());
+    Sum.SlotTime = std::max(Sum.SlotTime, SlotTime);
     Sum.Out = Sum.Out || Each.Message.out();
     Sum.ReceivedAt = std::max(Sum.ReceivedAt, Each.At);
   }
--- a/Libraries/LibServe/NonIdempotentCall.cpp
+++ b/Libraries/LibServe/NonIdempotentCall.cpp
@@ -9,6 +9,7 @@
 #include <LibServe/NonIdempotentCall.h>
 
 #include <LibCore/Hash.h>
+#include <LibLedger/Ledger.h>
 #include <LibTelemetry/Log.h>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -42,7 +43,7 @@
   Options.Attempt.set_host(Parts.Own.Host);
   Options.Attempt.set_incarnation(Parts.Life);
   Options.Attempt.set_attempt(++Parts.LastAttempt);
-  Options.BodyBytes = static_cast<std::size_t>(Parts.Own.Bounds.OutcomeBytes);
+  Options.BodyBytes = LedgerLimits().BodyBytes;
   const KeySpec &Rule = *Call.Call->Key;
   Options.Rule = Rule.Rule == KeyRule::Dated ? message::LEDGER_KEY_DATED
                                              : message::LEDGER_KEY_KEPT;
--- a/Libraries/LibServe/RouterTable.cpp
+++ b/Libraries/LibServe/RouterTable.cpp
@@ -8,6 +8,7 @@
 #include <LibServe/RouterTable.h>
 
 #include <LibCore/Hash.h>
+#include <algorithm>
 
 namespace carobhinge {
 
@@ -29,20 +30,29 @@
                       .Stragglers = Own.Policies.Stragglers,
                       .Spillover = Own.Policies.Spillover};
   Options.QueueLimit = static_cast<std::uint32_t>(Own.Bounds.QueuedRequests);
+  // The entry hosts of a failure domain see the same spare slots elsewhere.
+  auto SameDomain = std::ranges::count_if(Own.Peers, [&Own](const Peer &Each) {
+    return Each.Does.Entry && Each.FailureDomain == Own.FailureDomain;
+  });
+  Options.SpareShare = 1.0 / static_cast<double>(1 + SameDomain);
   return Options;
 }
 
 void RouterTable::intentChanged(const Intent &Wanted) {
   std::map<WorkspaceName, double> Weights;
-  for (const WorkspaceSpec &Each : Wanted.Workspaces)
+  std::map<WorkspaceName, std::uint32_t> QueueLimits;
+  for (const WorkspaceSpec &Each : Wanted.Workspaces) {
     Weights[Each.Name] = static_cast<double>(Each.Weight);
+    if (Each.QueueLimit > 0)
+      QueueLimits[Each.Name] = static_cast<std::uint32_t>(Each.QueueLimit);
+  }
   std::lock_guard Guard(this->Lock);
   for (const ServiceSpec &Service : Wanted.Services) {
     std::unique_ptr<ServiceRouter> &Entry = this->Routers[Service.Name];
     if (!Entry)
       Entry = std::make_unique<ServiceRouter>(
           this->Executor, routerOptions(this->Own, Service.Name));
-    Entry->weightsChanged(Weights);
+    Entry->workspacesChanged(Weights, QueueLimits);
     if (this->Draining)
       Entry->drain();
   }
--- a/Libraries/LibServe/ServerProcess.cpp
+++ b/Libraries/LibServe/ServerProcess.cpp
@@ -9,6 +9,7 @@
 
 #include <LibServe/Forwarding.h>
 #include <LibTelemetry/Log.h>
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,6 +26,8 @@
 static constexpr auto TargetInterval = std::chrono::milliseconds(50);
 static constexpr auto SummaryInterval = std::chrono::milliseconds(250);
 static constexpr auto ControlInterval = std::chrono::milliseconds(500);
+/// Records are kept for days; forgetting them may lag behind by this much.
+static constexpr auto PruneInterval = std::chrono::minutes(10);
 static constexpr auto RegisterBound = std::chrono::seconds(2);
 static constexpr auto RegisterPause = std::chrono::milliseconds(200);
 /// How long the hand-over of leadership is waited for.
@@ -204,6 +207,10 @@
     this->Fleet.tick();
     this->routingTick();
     TimePoint Now = monotonicNow();
+    if (this->Local && Now >= this->NextPrune) {
+      this->NextPrune = Now + PruneInterval;
+      this->prune();
+    }
     if (this->Local && Now >= this->NextControlTick) {
       this->NextControlTick = Now + ControlInterval;
       this->Local->tick();
@@ -217,6 +224,22 @@
   }
 }
 
+/// Lets the ledger shards that this host leads forget what their services no
+/// longer want kept.
+void ServerProcess::prune() {
+  std::shared_ptr<const Intent> Wanted = this->Intents.intent();
+  if (!Wanted)
+    return;
+  for (const ServiceSpec &Service : Wanted->Services) {
+    std::int64_t Days = 0;
+    for (const CallSpec &Each : Service.Calls)
+      if (Each.Key && Each.Key->Rule == KeyRule::Dated)
+        Days = std::max(Days, Each.Key->RetentionDays);
+    if (Days > 0)
+      this->Local->prune(Service.Name, static_cast<std::uint32_t>(Days));
+  }
+}
+
 void ServerProcess::intentTick() {
   std::shared_ptr<const Intent> Wanted = this->Intents.intent();
   if (!Wanted)
@@ -235,6 +258,22 @@
             {"domain", refusalName(this->Intents.refusal())}});
 }
 
+/// Tells a router only what changed; load reports alone are cheap to tell.
+static void tellTargets(ServiceRouter &Router, std::span<const Target> Targets,
+                        std::span<const Target> Told) {
+  auto SameButLoad = [](Target Left, const Target &Right) {
+    Left.Load = Right.Load;
+    return Left == Right;
+  };
+  if (!std::ranges::equal(Targets, Told, SameButLoad)) {
+    Router.targetsChanged(Targets);
+    return;
+  }
+  for (std::size_t I = 0; I < Targets.size(); ++I)
+    if (Targets[I].Load != Told[I].Load)
+      Router.reportLoad(Targets[I]);
+}
+
 void ServerProcess::routingTick() {
   TimePoint Now = monotonicNow();
   bool Refresh = Now >= this->NextTargets;
@@ -244,10 +283,8 @@
     if (Refresh) {
       std::vector<Target> Targets = this->Fleet.targets(Service);
       std::vector<Target> &Told = this->ToldTargets[Service];
-      if (Targets != Told) {
-        Router->targetsChanged(Targets);
-        Told = std::move(Targets);
-      }
+      tellTargets(*Router, Targets, Told);
+      Told = std::move(Targets);
       Router->neighboursChanged(this->Others.summaries(Service));
     }
     Router->tick();
@@ -268,6 +305,8 @@
     Item->set_service(Service);
     Item->set_spare_slots(Summary.SpareSlots);
     Item->set_queued(Summary.Queued);
+    Item->set_slot_time_ns(
+        static_cast<std::uint64_t>(Summary.SlotTime.count()));
     for (const TargetUse &Each : Router->status().Targets)
       if (Each.Outstanding > 0)
         Outstanding[Each.TargetName] += Each.Outstanding;
--- a/Libraries/LibServe/ServerProcess.h
+++ b/Libraries/LibServe/ServerProcess.h
@@ -35,6 +35,7 @@
   boost::asio::awaitable<void> handleEndpoint(HttpExchange &Exchange);
   std::map<std::string, WireHandler, std::less<>> wireHandlers();
 
+  void prune();
   void intentTick();
   void routingTick();
   void sendSummaries();
@@ -76,6 +77,7 @@
   TimePoint NextTargets;
   TimePoint NextSummary;
   TimePoint NextControlTick;
+  TimePoint NextPrune;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibServe/ServiceRouter.cpp
+++ b/Libraries/LibServe/ServiceRouter.cpp
@@ -87,10 +87,17 @@
   this->deliver();
 }
 
-void ServiceRouter::weightsChanged(
-    const std::map<WorkspaceName, double> &Weights) {
+void ServiceRouter::reportLoad(const Target &Of) {
+  std::lock_guard Guard(this->Lock);
+  this->Decisions.reportLoad(Of.Name, Of.Life, Of.Load);
+}
+
+void ServiceRouter::workspacesChanged(
+    const std::map<WorkspaceName, double> &Weights,
+    std::map<WorkspaceName, std::uint32_t> QueueLimits) {
   std::lock_guard Guard(this->Lock);
   this->Decisions.weightsChanged(Weights);
+  this->Decisions.queueLimitsChanged(std::move(QueueLimits));
   this->deliver();
 }
 
--- a/Libraries/LibServe/ServiceRouter.h
+++ b/Libraries/LibServe/ServiceRouter.h
@@ -40,7 +40,9 @@
 
   void targetsChanged(std::span<const Target> Targets);
   void neighboursChanged(std::span<const DomainSummary> Summaries);
-  void weightsChanged(const std::map<WorkspaceName, double> &Weights);
+  void workspacesChanged(const std::map<WorkspaceName, double> &Weights,
+                         std::map<WorkspaceName, std::uint32_t> QueueLimits);
+  void reportLoad(const Target &Of);
   void drain();
   /// Calls the Router's timer if it is due.
   void tick();
--- a/Libraries/LibSettings/SettingRows.cpp
+++ b/Libraries/LibSettings/SettingRows.cpp
@@ -181,11 +181,6 @@
                         32 * MiB, {.Least = MiB, .Most = 1024 * MiB}, "bytes",
                         "Messages waiting for one peer; beyond it they are "
                         "dropped, as on a lost link"));
-  Rows.push_back(number("limits", "outcome_bytes",
-                        &target<&Settings::Bounds, &Limits::OutcomeBytes>,
-                        16 * KiB, {.Least = 0, .Most = MiB}, "bytes",
-                        "Body of an answer that the ledger keeps whole; of a "
-                        "longer one it keeps the digest"));
 }
 
 static void addTimes(std::vector<SettingRow> &Rows) {
--- a/Libraries/LibSettings/Settings.h
+++ b/Libraries/LibSettings/Settings.h
@@ -70,7 +70,6 @@
   std::int64_t QueuedRequests = 0;
   std::int64_t MessageBytes = 0;
   std::int64_t PeerQueueBytes = 0;
-  std::int64_t OutcomeBytes = 0;
 };
 
 /// Intervals and timeouts of one process.
--- a/Tests/Carobhinge/TestProcesses.cpp
+++ b/Tests/Carobhinge/TestProcesses.cpp
@@ -179,7 +179,7 @@
   ASSERT_TRUE(this->Running.takeOut("", 2));
   this->Running.waitFor("the domain is back", [this] {
     return this->Running.operatorsGet(this->host(0), "/v1/status")
-               .find("\"domain\":\"none\"") != std::string::npos;
+               .find("\"domain\":\"serving\"") != std::string::npos;
   });
   this->waitForAnswer(0, 1000);
   this->settle();
