LibConsensus: Test what a leader may commit

With the rule removed, two tests were missing: a leader that counts its own entry before it is durable, and one that commits an entry of an earlier term by its number of holders, stayed green.

--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -379,6 +379,33 @@
   EXPECT_EQ(this->Voter->role(), Role::Candidate);
 }
 
+TEST_F(RestartTest, CommitsDurableEntriesOfItsOwnTerm) {
+  this->answer("b", {});
+  this->answer("c", {});
+  this->Now += 2s;
+  this->Voter->tick(this->Now);
+  message::ConsensusMessage Message;
+  Message.set_disk("b-disk");
+  Message.mutable_vote_reply()->set_granted(true);
+  for (bool Trial : {true, false}) {
+    Message.set_term(this->Voter->term());
+    Message.mutable_vote_reply()->set_trial(Trial);
+    this->Voter->receive(this->Now, "b", Message);
+  }
+  ASSERT_EQ(this->Voter->role(), Role::Leader);
+  auto Acknowledge = [&](std::uint64_t Index) {
+    Message.mutable_append_reply()->set_accepted(true);
+    Message.mutable_append_reply()->set_index(Index);
+    this->Voter->receive(this->Now, "b", Message);
+  };
+  Acknowledge(1);
+  EXPECT_EQ(this->Voter->commit(), 0U) << "the entry is of an earlier term";
+  Acknowledge(2);
+  EXPECT_EQ(this->Voter->commit(), 0U) << "the entry is not durable here";
+  this->Voter->persisted();
+  EXPECT_EQ(this->Voter->commit(), 2U);
+}
+
 TEST_F(RestartTest, TakesANewIdentityIfItHoldsLessThanItClaimed) {
   const Claim Kept[] = {{.Term = 5, .LastTerm = 4, .LastIndex = 1},
                         {.Term = 4, .LastTerm = 3, .LastIndex = 9}};
