--- a/Libraries/LibServe/IdempotentCall.cpp
+++ b/Libraries/LibServe/IdempotentCall.cpp
@@ -93,9 +93,10 @@
   void observeFirstByte(bool FirstEver) {
     TimePoint Now = monotonicNow();
     IdempotentCall &Call = this->Owner;
-    Target From{.Name = this->Sent.TargetName,
-                .Service = Call.Call.Service->Name,
-                .Life = this->Sent.Life};
+    Target From;
+    From.Name = this->Sent.TargetName;
+    From.Service = Call.Call.Service->Name;
+    From.Life = this->Sent.Life;
     Call.Parts.Fleet.answered(From, Now - this->StartedAt);
     if (FirstEver)
       Call.Parts.Figures.observe(Call.Call.Traffic, RequestTiming::FirstByte,
