--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 
 #include <LibConsensus/ReplicaCluster.h>
+#include <algorithm>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
@@ -126,22 +127,28 @@
 }
 
 TEST_F(ReplicaTest, OlderDiskIsFoundOutWithoutTheLeader) {
-  this->start({.Hosts = Three, .Bounds = Small});
-  FakeDisk::NodeMap Older = this->Cluster->disk(this->First).image();
-  // Second gets few of the entries, but hears what First has claimed.
-  this->Cluster->link(this->Second, this->Leader).Cut = true;
-  this->commit(30);
-  this->Cluster->kill(this->Leader);
-  this->Cluster->kill(this->First);
-  this->Cluster->disk(this->First).restore(Older);
-  ASSERT_TRUE(this->Cluster->restart(this->First));
-  this->Cluster->heal();
-  this->Cluster->advance(20s);
-  EXPECT_EQ(this->Cluster->leader(), "");
-  this->Cluster->restart(this->Leader);
-  this->Cluster->advance(20s);
-  EXPECT_TRUE(this->repairComplete());
-  EXPECT_EQ(this->Cluster->machine(this->First).Commands.size(), 30U);
+  // The lagging host is being sent a snapshot, or entries.
+  for (std::uint64_t SnapshotEntries : {6, 1000}) {
+    ReplicaBounds Bounds = Small;
+    Bounds.SnapshotEntries = SnapshotEntries;
+    this->start({.Hosts = Three, .Bounds = Bounds});
+    FakeDisk::NodeMap Older = this->Cluster->disk(this->First).image();
+    // Second gets few of the entries, but hears what First has claimed.
+    this->Cluster->link(this->Second, this->Leader).Cut = true;
+    this->commit(30);
+    this->Cluster->kill(this->Leader);
+    this->Cluster->kill(this->First);
+    this->Cluster->disk(this->First).restore(Older);
+    ASSERT_TRUE(this->Cluster->restart(this->First));
+    this->Cluster->heal();
+    this->Cluster->advance(20s);
+    EXPECT_EQ(this->Cluster->leader(), "");
+    this->Cluster->restart(this->Leader);
+    this->Cluster->advance(20s);
+    EXPECT_TRUE(this->repairComplete());
+    EXPECT_EQ(this->Cluster->machine(this->First).Commands.size(), 30U);
+    EXPECT_THAT(this->Cluster->Violations, IsEmpty());
+  }
 }
 
 TEST_F(ReplicaTest, RepairIsCompleteOnlyWithAllVoters) {
@@ -305,6 +312,8 @@
     Stored.Hard.set_stage(message::STAGE_FORMED);
     for (const HostName &Host : Three)
       addVoter(*Stored.Hard.mutable_configuration(), Host, Host + "-disk");
+    Stored.Hard.mutable_configuration()->mutable_hosts()->Assign(Three.begin(),
+                                                                 Three.end());
     message::Entry &Entry = Stored.Entries.emplace_back();
     Entry.set_index(1);
     Entry.set_term(4);
@@ -338,6 +347,13 @@
     return false;
   }
 
+  std::ptrdiff_t readsServed() {
+    std::vector<Effect> Effects = this->Voter->takeEffects(this->Now);
+    return std::count_if(Effects.begin(), Effects.end(), [](const Effect &E) {
+      return std::holds_alternative<ReadReadyEffect>(E);
+    });
+  }
+
   TimePoint Now{std::chrono::hours(1)};
   std::optional<Replica> Voter;
 };
@@ -398,12 +414,56 @@
     Message.mutable_append_reply()->set_index(Index);
     this->Voter->receive(this->Now, "b", Message);
   };
+  // A refusal keeps the lease, but what is committed isn't known yet.
+  Message.mutable_append_reply()->set_index(1);
+  Message.mutable_append_reply()->set_sent_ns(
+      this->Now.time_since_epoch().count());
+  this->Voter->receive(this->Now, "b", Message);
+  ASSERT_TRUE(this->Voter->holdsLease(this->Now));
+  this->Voter->read(this->Now, 1);
+  EXPECT_EQ(this->readsServed(), 0);
   Acknowledge(1);
   EXPECT_EQ(this->Voter->commit(), 0U) << "the entry is of an earlier term";
   Acknowledge(2);
   EXPECT_EQ(this->Voter->commit(), 0U) << "the entry is not durable here";
   this->Voter->persisted();
   EXPECT_EQ(this->Voter->commit(), 2U);
+  EXPECT_EQ(this->readsServed(), 1);
+  // Late word of an identity that was replaced displaces no voter.
+  Message.set_disk("older-disk");
+  Message.mutable_hello()->set_stage(message::STAGE_LEARNER);
+  this->Voter->receive(this->Now, "b", Message);
+  EXPECT_THAT(this->Voter->learners(), IsEmpty());
+}
+
+TEST_F(RestartTest, SnapshotKeepsAcknowledgedEntriesBehindIt) {
+  message::ConsensusMessage Message;
+  Message.set_disk("b-disk");
+  Message.set_term(5);
+  message::Append &Append = *Message.mutable_append();
+  Append.set_previous_index(1);
+  Append.set_previous_term(4);
+  Append.add_entries()->set_index(2);
+  Append.mutable_entries(0)->set_term(5);
+  this->Voter->receive(this->Now, "b", Message);
+  auto Install = [&](std::uint64_t Index) {
+    message::StoredSnapshot Snapshot;
+    Snapshot.set_index(Index);
+    Snapshot.set_term(4);
+    message::SnapshotChunk &Chunk = *Message.mutable_snapshot_chunk();
+    Chunk.set_index(Index);
+    Chunk.set_term(4);
+    Chunk.set_bytes(Snapshot.SerializeAsString());
+    Chunk.set_total(Chunk.bytes().size());
+    this->Voter->receive(this->Now, "b", Message);
+  };
+  Install(1);
+  EXPECT_EQ(this->Voter->commit(), 1U);
+  EXPECT_EQ(this->Voter->log().lastIndex(), 2U);
+  Install(10);
+  EXPECT_EQ(this->Voter->commit(), 10U);
+  Install(5);
+  EXPECT_EQ(this->Voter->commit(), 10U) << "an old snapshot came late";
 }
 
 TEST_F(RestartTest, TakesANewIdentityIfItHoldsLessThanItClaimed) {
