--- a/Tests/LibStore/TestLogStore.cpp
+++ b/Tests/LibStore/TestLogStore.cpp
@@ -190,6 +190,14 @@
   EXPECT_THROW(Store.append("two"), DiskError);
   EXPECT_THROW(Store.replace("three", {}), DiskError);
 
+  // The next life reads what was written and makes it last.
+  EXPECT_THAT(LogStore(options(Files)).takeStored().Records,
+              ElementsAre("one"));
+  std::mt19937_64 Random(1);
+  Files.cutPower(Random);
+  EXPECT_THAT(LogStore(options(Files)).takeStored().Records,
+              ElementsAre("one"));
+
   FakeDisk Full;
   LogStore Other(options(Full));
   Full.SpaceLeft = 10;
