--- a/Libraries/LibConsensus/ReplicaRunner.cpp
+++ b/Libraries/LibConsensus/ReplicaRunner.cpp
@@ -92,6 +92,8 @@
 void ReplicaRunner::carryOut(const TakeSnapshotEffect &Take) {
   this->sync();
   assert(Take.Frame.index() == this->Applied);
+  // FIXME: A large state holds up the log while it is written, on all replicas
+  // at the same index.
   message::StoredSnapshot Snapshot = Take.Frame;
   Snapshot.set_state(this->Machine.snapshot());
   this->Store.replace(Snapshot, Take.Carried);
--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -232,9 +232,9 @@
 }
 
 TEST_F(ReplicaTest, TransferIsQuickAndLosesNoProposal) {
-  std::vector<std::size_t> Proposals;
-  for (int I = 0; I < 50; ++I)
-    Proposals.push_back(this->Cluster->propose(this->Leader, "x"));
+  std::vector<std::size_t> Proposals(50);
+  for (std::size_t &Proposal : Proposals)
+    Proposal = this->Cluster->propose(this->Leader, "x");
   this->Cluster->with(this->Leader, [](Replica &Known, TimePoint Now) {
     Known.transferLeadership(Now);
   });
