--- a/Libraries/LibRouting/RouterOptions.h
+++ b/Libraries/LibRouting/RouterOptions.h
@@ -34,31 +34,32 @@
   std::string Retries = "budgeted";
   /// "budgeted"; baseline "none".
   std::string Hedges = "budgeted";
-  /// "peer-median"; baseline "none".
-  std::string Stragglers = "peer-median";
+  /// "peer-mean"; baseline "none".
+  std::string Stragglers = "peer-mean";
   /// "spare-capacity"; baseline "none".
   std::string Spillover = "spare-capacity";
 };
 
 struct RouterOptions {
-  ServiceName Service;
-  FailureDomainName FailureDomain;
+  ServiceName Service = {};
+  FailureDomainName FailureDomain = {};
   std::uint64_t Seed = 1;
-  RouterPolicies Policies;
+  RouterPolicies Policies = {};
   /// Weights of the workspaces; one that is not listed has weight 1.
-  std::map<WorkspaceName, double> Weights;
+  std::map<WorkspaceName, double> Weights = {};
   /// Requests that may wait, for each workspace and class.
   std::uint32_t QueueLimit = 500;
   /// Retries and resumes allowed for each new request sent to a target.
-  double RetryShare = 0.1;
+  double RetryShare = 0.2;
   /// Hedges allowed for each new request sent to a target.
   double HedgeShare = 0.05;
   /// Most attempts that either budget saves up.
   double BudgetBurst = 10;
   /// A summary older than this promises nothing.
   Duration SummaryLifetime = 3s;
-  /// Share of a neighbour's spare slots that this entry host may fill between
-  /// two summaries; other hosts see the same spare slots.
+  /// Share of a neighbour's spare slots that this entry host may fill. Others
+  /// see the same spare slots: one over the number of entry hosts of a failure
+  /// domain is safe.
   double SpareShare = 0.5;
   /// A neighbour that returns gets its full share only after this long.
   Duration SlowStart = 20s;
--- a/Libraries/LibRouting/TargetBoard.h
+++ b/Libraries/LibRouting/TargetBoard.h
@@ -24,7 +24,7 @@
 
 /// How a target's answers compare with those of its peers.
 struct TargetHealth {
-  /// Smoothed natural logarithm of (time to first byte / median of the peers).
+  /// Smoothed natural logarithm of (time to first byte / mean of the peers).
   double Slowness = 0;
   std::uint32_t Samples = 0;
   bool Straggler = false;
@@ -35,6 +35,9 @@
   /// Requests that were dispatched here and have not finished. Never above
   /// SlotLimit when one is added; it may be above after the limit fell.
   std::uint32_t Outstanding = 0;
+  /// What the last report counted beyond Outstanding when it came: the work
+  /// of other entry hosts, as long as the report is fresh.
+  std::uint32_t WorkOfOthers = 0;
   TargetHealth Health;
   /// Failures since the last success.
   std::uint32_t Failures = 0;
@@ -62,6 +65,9 @@
 
   /// Nothing is sent to the target before \p Until.
   void setAside(TargetIndex Index, TimePoint Until);
+  /// True if half of the targets would be aside with one more. Failures that
+  /// so many share are not the targets' own.
+  [[nodiscard]] bool manyAside() const;
   void noteFailure(TargetIndex Index) { ++this->States[Index].Failures; }
   void noteSuccess(TargetIndex Index) { this->States[Index].Failures = 0; }
   void setHealth(TargetIndex Index, const TargetHealth &Health);
@@ -89,6 +95,7 @@
   [[nodiscard]] std::uint64_t membership() const { return this->Membership; }
 
 private:
+  static void takeReport(TargetState &State, const ReportedLoad &Load);
   TargetIndex add(const Target &Info);
   void refresh(TargetIndex Index);
   void retire(TargetIndex Index);
@@ -103,6 +110,8 @@
   std::set<std::pair<TimePoint, TargetIndex>> Reopenings;
   std::uint64_t Usable = 0;
   std::uint64_t InUse = 0;
+  /// Targets that are not gone.
+  std::size_t Listed = 0;
   std::uint64_t Membership = 0;
 };
 
