--- a/Libraries/LibServe/ServiceRouter.h
+++ b/Libraries/LibServe/ServiceRouter.h
@@ -19,8 +19,9 @@
 namespace carobhinge {
 
 /// Where the effects for one request arrive, in order.
-using RoutingInbox = boost::asio::experimental::concurrent_channel<void(
-    boost::system::error_code, RoutingEffect)>;
+using RoutingInbox =
+    boost::asio::experimental::concurrent_channel<void(
+        boost::system::error_code, RoutingEffect)>;
 
 /// Thread-safe.
 class ServiceRouter {
