--- a/Libraries/LibFleet/GroupPlanner.cpp
+++ b/Libraries/LibFleet/GroupPlanner.cpp
@@ -102,7 +102,8 @@
   this->Placements.clear();
   for (const auto &[Name, Each] : this->Groups) {
     for (std::uint32_t Rank = 0; Rank < Each.Members.size(); ++Rank) {
-      if (this->isMissing(Now, Each, Rank))
+      if (Each.Members[Rank].Endpoint.empty() ||
+          this->isMissing(Now, Each, Rank))
         continue;
       [[maybe_unused]] bool Added =
           this->Placements
--- a/Libraries/LibFleet/GroupPlanner.h
+++ b/Libraries/LibFleet/GroupPlanner.h
@@ -115,7 +115,8 @@
 
 private:
   struct Member {
-    EndpointName Endpoint;
+    /// Empty if it was not heard when an earlier holder's group was taken over.
+    EndpointName Endpoint = {};
     Incarnation Life = 0;
     /// It was seen in its place since the group got its number.
     bool Joined = false;
@@ -181,6 +182,8 @@
   void adopt(TimePoint Now);
   void adoptRoster(TimePoint Now);
   void adoptAnnounced(TimePoint Now);
+  [[nodiscard]] bool isListed(const Group &Each) const;
+  void fillIn(TimePoint Now, Group &Each);
   Condition silentCondition(TimePoint Now, TimePoint Since, Duration Lifetime,
                             const Member &Of) const;
   Condition condition(TimePoint Now, const Group &In, std::uint32_t Rank) const;
--- a/Libraries/LibFleet/GroupPlannerState.cpp
+++ b/Libraries/LibFleet/GroupPlannerState.cpp
@@ -22,7 +22,9 @@
 }
 
 /// The endpoints know best: a group that all its members announce is taken
-/// over first. The newest roster adds those that are not whole.
+/// over first. The newest roster adds those that are not whole. A new holder
+/// may know no roster and hear only some of the members: then it takes over
+/// what it hears of a group, and the other members fill in later.
 void GroupPlanner::adopt(TimePoint Now) {
   this->Groups.clear();
   this->adoptAnnounced(Now);
@@ -36,7 +38,9 @@
   std::map<Key, std::set<std::uint32_t>> Ranks;
   for (const auto &[Name, Entry] : this->Census.all()) {
     const GroupPlace &Place = Entry.said().Place;
-    if (!Entry.Heard.isFresh(Now) || Place.Group.empty())
+    Duration Silence = Now - Entry.Heard.At;
+    if (Silence >= Entry.said().Lifetime + this->Options.DeathWait ||
+        Place.Group.empty())
       continue;
     Key Of(Place.Group, Place.Number, Place.Size);
     Group &Each = Found[Of];
@@ -48,15 +52,40 @@
     // Requests may be running there.
     Each.State = GroupState::Serving;
     Each.FormedAt = Now;
-    Each.Members.resize(Place.Size);
+    Each.Members.resize(Place.Size, {.Joined = true});
     Each.Members[Place.Rank] = {
         .Endpoint = Name, .Life = Entry.said().Life, .Joined = true};
     Ranks[Of].insert(Place.Rank);
   }
   // A later number of the same group comes later and wins.
-  for (auto &[Of, Each] : Found)
-    if (Ranks[Of].size() == Each.Members.size())
+  for (auto &[Of, Each] : Found) {
+    bool Whole = Ranks[Of].size() == Each.Members.size();
+    if (Whole || !this->isListed(Each))
       this->Groups.insert_or_assign(std::get<GroupName>(Of), std::move(Each));
+    else
+      this->Groups.erase(std::get<GroupName>(Of));
+  }
+}
+
+/// The newest roster names all members of the group.
+bool GroupPlanner::isListed(const Group &Each) const {
+  return std::ranges::any_of(
+      this->Published.Groups, [&Each](const RosterGroup &Listed) {
+        return Listed.Group == Each.Name && Listed.Number == Each.Number;
+      });
+}
+
+/// Finds members that were not heard when their group was taken over.
+void GroupPlanner::fillIn(TimePoint Now, Group &Each) {
+  for (std::uint32_t Rank = 0; Rank < Each.Members.size(); ++Rank) {
+    if (!Each.Members[Rank].Endpoint.empty())
+      continue;
+    for (const auto &[Name, Entry] : this->Census.all())
+      if (Entry.Heard.isFresh(Now) &&
+          Entry.said().Place == this->placeOf(Each, Rank))
+        Each.Members[Rank] = {
+            .Endpoint = Name, .Life = Entry.said().Life, .Joined = true};
+  }
 }
 
 /// Broken groups come last: a member that one has lost may have a new place.
@@ -73,7 +102,7 @@
     bool Taken =
         this->Groups.contains(Listed.Group) ||
         std::ranges::any_of(Listed.Members, [&Placed](const RosterMember &Of) {
-          return Placed.contains(Of.Endpoint);
+          return !Of.Endpoint.empty() && Placed.contains(Of.Endpoint);
         });
     if (Taken)
       continue;
@@ -151,6 +180,7 @@
   bool AnyJoining = false;
   bool AnyPaused = false;
   bool AnyLeaving = false;
+  this->fillIn(Now, Each);
   for (std::uint32_t Rank = 0; Rank < Each.Members.size(); ++Rank) {
     Condition Is = this->condition(Now, Each, Rank);
     AnyLost = AnyLost || Is == Condition::Lost;
--- a/Libraries/LibFleet/Roster.h
+++ b/Libraries/LibFleet/Roster.h
@@ -26,6 +26,7 @@
 };
 
 struct RosterMember {
+  /// Empty while the planner has yet to hear who has this rank.
   EndpointName Endpoint;
   Incarnation Life = 0;
 
--- a/Meta/CMake/Matrix.cmake
+++ b/Meta/CMake/Matrix.cmake
@@ -3,5 +3,5 @@
 add_executable(Matrix ${MATRIX_SOURCES})
 target_compile_definitions(
   Matrix PRIVATE CAROBHINGE_SOURCE_FOLDER="${CMAKE_SOURCE_DIR}")
-target_link_libraries(Matrix PRIVATE State)
+target_link_libraries(Matrix PRIVATE State FleetCluster)
 add_test(NAME Matrix COMMAND Matrix --share 10)
--- a/Tests/FleetCluster/FleetFaults.cpp
+++ b/Tests/FleetCluster/FleetFaults.cpp
@@ -116,7 +116,11 @@
   if (this->DomainOutSince <= this->Now - AllowedDelay)
     this->violation("new work for a failure domain that is out");
   this->send(Host.Name, To.Address, MessageKind::Request,
-             [this, Address = To.Address, At, Request] {
+             [this, Address = To.Address, At, Request, Life = Host.Life] {
+               // A connection of a dead process is closed: the engine cancels.
+               const EntryHost &From = this->entryHost(Request.EntryHost);
+               if (!From.Alive || From.Life != Life)
+                 return;
                if (this->engine(Address).take(this->Now, At, Request))
                  ++this->RequestsStarted;
                else
--- a/Tests/FleetCluster/FleetInvariants.cpp
+++ b/Tests/FleetCluster/FleetInvariants.cpp
@@ -103,6 +103,8 @@
       continue;
     std::set<FabricDomainName> Fabrics;
     for (const RosterMember &Member : Group.Members) {
+      if (Member.Endpoint.empty())
+        continue;
       const Announcement &Said = this->engine(Member.Endpoint).Said;
       Fabrics.insert(Said.FabricDomain);
       if (!Seen.insert(Said.Host).second)
