LibFleet: Let a fabric domain that was dark return whole

Cause: with a spare in the fabric domain, the first endpoint heard after the dark was taken as a spare for a group whose members were a moment behind it, and the group was repaired, which loads weights. Seen in FleetAnyFabricDark.scenario:16, 'expected domain serving=2, found serving=1' five seconds after the return. Ruled out: a lost place, as the engines still announced theirs.

Repairs in a fabric domain now wait for the time to settle after it was dark.

--- a/Libraries/LibFleet/GroupPlanner.cpp
+++ b/Libraries/LibFleet/GroupPlanner.cpp
@@ -86,6 +86,7 @@
     return {};
   if (!this->Adopted)
     this->adopt(Now);
+  this->noteDarkFabrics(Now);
   for (auto &[Name, Each] : this->Groups) {
     this->observe(Now, Each);
     this->followDrain(Now, Each);
@@ -165,7 +166,8 @@
 std::vector<GroupPlanner::Group *> GroupPlanner::brokenGroups(TimePoint Now) {
   std::vector<Group *> Result;
   for (auto &[Name, Each] : this->Groups)
-    if (Each.State == GroupState::Broken)
+    if (Each.State == GroupState::Broken &&
+        !this->isReturning(Now, Each.FabricDomain))
       Result.push_back(&Each);
   std::ranges::stable_sort(Result, std::greater(), [this, Now](Group *Each) {
     return this->survivors(Now, *Each);
--- a/Libraries/LibFleet/GroupPlanner.h
+++ b/Libraries/LibFleet/GroupPlanner.h
@@ -188,6 +188,9 @@
                             const Member &Of) const;
   Condition condition(TimePoint Now, const Group &In, std::uint32_t Rank) const;
   void observe(TimePoint Now, Group &Each);
+  void noteDarkFabrics(TimePoint Now);
+  [[nodiscard]] bool isReturning(TimePoint Now,
+                                 const FabricDomainName &Fabric) const;
   void followDrain(TimePoint Now, Group &Each);
   [[nodiscard]] bool isDrained(TimePoint Now, const Group &Each) const;
   [[nodiscard]] bool isOutdated(const Group &Each) const;
@@ -236,6 +239,8 @@
   TimePoint GrantedAt;
   TimePoint ConfirmedAt;
   bool Adopted = false;
+  /// When no endpoint of a fabric domain was last heard.
+  std::map<FabricDomainName, TimePoint> LastDark;
   std::map<GroupName, Group> Groups;
   /// Rebuilt by place(); missing members have none.
   std::map<EndpointName, Placement> Placements;
--- a/Libraries/LibFleet/GroupPlannerState.cpp
+++ b/Libraries/LibFleet/GroupPlannerState.cpp
@@ -167,6 +167,25 @@
          (Is == Condition::Leaving && In.State == GroupState::Broken);
 }
 
+void GroupPlanner::noteDarkFabrics(TimePoint Now) {
+  std::map<FabricDomainName, bool> Heard;
+  for (const auto &[Name, Entry] : this->Census.all())
+    Heard[Entry.said().FabricDomain] |= Entry.Heard.isFresh(Now);
+  for (const auto &[Fabric, AnyFresh] : Heard)
+    if (!AnyFresh)
+      this->LastDark[Fabric] = Now;
+}
+
+/// The endpoints of a fabric domain that was dark return within moments of one
+/// another. A repair for the first of them would disturb groups that are about
+/// to be whole.
+bool GroupPlanner::isReturning(TimePoint Now,
+                               const FabricDomainName &Fabric) const {
+  auto Found = this->LastDark.find(Fabric);
+  return Found != this->LastDark.end() &&
+         Now - Found->second < this->Options.SettleTime;
+}
+
 /// The intent no longer wants the group as it is.
 bool GroupPlanner::isOutdated(const Group &Each) const {
   auto Wanted = this->Intent.Services.find(Each.Service);
--- /dev/null
+++ b/Tests/FleetCluster/FleetWorld.h
@@ -0,0 +1,56 @@
+//===- Tests/FleetCluster/FleetWorld.h - Fleet scenarios ------------------===//
+///
+/// \file
+/// Gives the scenario language its meaning for the groups of one failure
+/// domain. WHO is an engine (engine-1-2), an entry host (entry-1), `domain` or
+/// a place in a group: `member-R` is the member of rank R of the first group.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef FLEETCLUSTER_FLEETWORLD_H
+#define FLEETCLUSTER_FLEETWORLD_H
+
+#include "FleetCluster.h"
+
+#include <Scenario/World.h>
+
+namespace carobhinge {
+
+/// Verbs: kill, restart, pause, resume, leave, chill, freeze, thaw, cut OTHER,
+/// heal, out, back, version NAME, remember. Expectations: `domain expect
+/// serving=N`, `domain expect started=more|same` (requests since `remember`),
+/// `domain expect same-groups` and `NAME expect group=none|some`.
+class FleetWorld : public scenario::World {
+public:
+  FleetWorld(std::uint64_t Seed, bool ChecksFencing)
+      : Cluster({.Seed = Seed,
+                 .EnginesPerFabric = 5,
+                 .ChecksFencing = ChecksFencing,
+                 .RequestsPerSecond = 20}) {}
+
+  [[nodiscard]] std::span<const std::string_view> verbs() const override;
+  void advance(Duration Passed) override;
+  void act(const scenario::Step &What) override;
+  std::optional<std::string> unmet(const scenario::Step &Expectation) override;
+  std::optional<std::string> brokenInvariant() override;
+
+private:
+  void actOnDomain(const scenario::Step &What);
+  void actOnEntryHost(const scenario::Step &What);
+  void actOnEngine(const scenario::Step &What);
+  std::optional<std::string> unmetDomain(const scenario::Step &Expectation);
+  EndpointName engineOf(const std::string &Who);
+  std::vector<RosterGroup> groups();
+
+  FleetCluster Cluster;
+  /// Time that was asked for and is less than a tick of the cluster.
+  Duration Owed{};
+  /// `member-R` keeps its meaning once it was used.
+  std::map<std::string, EndpointName> Named;
+  std::vector<RosterGroup> Remembered;
+  std::uint64_t RememberedRequests = 0;
+};
+
+} // namespace carobhinge
+
+#endif // FLEETCLUSTER_FLEETWORLD_H
--- /dev/null
+++ b/Tests/FleetScenarios/TestFleetScenarios.cpp
@@ -0,0 +1,23 @@
+//===- Tests/FleetScenarios/TestFleetScenarios.cpp - Fleet*.scenario ------===//
+///
+/// \file
+/// Runs the scenarios of groups, with engines that check fencing numbers and
+/// with ones that ignore them.
+///
+//===----------------------------------------------------------------------===//
+
+#include <FleetCluster/FleetWorld.h>
+#include <Scenario/Runner.h>
+
+using namespace carobhinge;
+
+static bool registerWith(std::string_view Prefix, bool ChecksFencing) {
+  return scenario::registerScenarios(
+      std::filesystem::path(CAROBHINGE_SOURCE_FOLDER) / "Tests/Scenarios",
+      Prefix, [ChecksFencing](std::uint64_t Seed) {
+        return std::make_unique<FleetWorld>(Seed, ChecksFencing);
+      });
+}
+
+static const bool Fenced = registerWith("Fleet", true);
+static const bool Unfenced = registerWith("FleetAny", false);
