--- a/Tests/LibFleet/TestEndpointDirectory.cpp
+++ b/Tests/LibFleet/TestEndpointDirectory.cpp
@@ -89,6 +89,7 @@
   Announcement Late = said("a", 9);
   EXPECT_FALSE(this->Directory.announced(this->Now, Late, seconds(1)));
   EXPECT_EQ(this->Directory.state("a"), EndpointState::Leaving);
+  EXPECT_TRUE(this->Directory.targets(this->Now, "ledger").at(0).Draining);
   this->Now += seconds(2);
   EXPECT_FALSE(this->Directory.announced(this->Now, Newer, Duration::zero()));
   this->Now += seconds(1);
--- a/Tests/LibFleet/TestGroupPlanner.cpp
+++ b/Tests/LibFleet/TestGroupPlanner.cpp
@@ -324,3 +324,69 @@
   EXPECT_EQ(Most, 3U);
   expectWhole(Cluster, minutes(1));
 }
+
+/// An order to an engine without fencing needs the control log's record.
+TEST(GroupPlanner, UnrecordedOrderIsNotSent) {
+  FleetCluster Cluster({.EnginesPerFabric = 3, .ChecksFencing = false});
+  expectWhole(Cluster, minutes(2));
+  Cluster.cut("entry-1", "control");
+  Cluster.cut("entry-2", "control");
+  std::uint32_t Orders = 0;
+  Cluster.OnSend = [&Orders](const Envelope &What, MessageFate &) {
+    Orders += What.Kind == MessageKind::Order ? 1 : 0;
+  };
+  Cluster.kill(onlyGroup(Cluster).Members[1].Endpoint);
+  Cluster.run(minutes(1));
+  EXPECT_EQ(Orders, 0U);
+  Cluster.heal();
+  expectWhole(Cluster, minutes(2));
+  EXPECT_GT(Orders, 0U);
+}
+
+/// Cut off from the control log and from another entry host, which may have
+/// the grant by now, the holder changes nothing.
+TEST(GroupPlanner, HolderWithoutConfirmationStops) {
+  FleetCluster Cluster({.EnginesPerFabric = 3});
+  expectWhole(Cluster, minutes(2));
+  HostName Holder = Cluster.holder();
+  for (const HostName &Other :
+       {HostName("control"), HostName("entry-1"), HostName("entry-2")})
+    if (Other != Holder)
+      Cluster.cut(Holder, Other);
+  Cluster.run(seconds(10));
+  Roster Before = Cluster.entryHost(Holder).Planner->roster();
+  Cluster.kill(onlyGroup(Cluster).Members[1].Endpoint);
+  Cluster.run(seconds(40));
+  EXPECT_EQ(Cluster.entryHost(Holder).Planner->roster(), Before);
+  EXPECT_NE(Cluster.holder(), Holder);
+  Cluster.heal();
+  expectWhole(Cluster, minutes(2));
+}
+
+TEST(GroupPlanner, OnlyOneEndpointOfAHostIsInAGroup) {
+  FleetCluster Cluster({.EnginesPerFabric = 3});
+  Cluster.engine("engine-1-1").Said.Host = "shared";
+  Cluster.engine("engine-1-2").Said.Host = "shared";
+  expectWhole(Cluster, minutes(2));
+  bool First = Cluster.engine("engine-1-1").Said.Place.Group.empty();
+  bool Second = Cluster.engine("engine-1-2").Said.Place.Group.empty();
+  EXPECT_NE(First, Second);
+}
+
+/// A report under a newer planner's roster says nothing about an older drain.
+TEST(DrainWatch, EveryEntryHostMustKnowTheVeryRoster) {
+  TimePoint Now(seconds(100));
+  DrainWatch Watch({"entry-1", "entry-2"}, seconds(10));
+  using Verdict = DrainWatch::Verdict;
+  auto After = [&](std::uint64_t Epoch, std::uint64_t Sequence) {
+    Watch.reported(
+        Now, {.EntryHost = "entry-2", .Epoch = Epoch, .Sequence = Sequence});
+    return Watch.verdict(Now, "g", 2, 5);
+  };
+  Watch.reported(Now, {.EntryHost = "entry-1", .Epoch = 2, .Sequence = 6});
+  EXPECT_EQ(Watch.verdict(Now, "g", 2, 5), Verdict::SilentOnly);
+  EXPECT_EQ(After(2, 4), Verdict::Busy);
+  EXPECT_EQ(After(3, 9), Verdict::Busy);
+  EXPECT_EQ(After(2, 5), Verdict::Drained);
+  EXPECT_EQ(Watch.verdict(Now + seconds(10), "g", 2, 5), Verdict::SilentOnly);
+}
