LibFleet: Measure the policies, and index free endpoints by fabric domain

bench groups runs the policies through the same faults beside the baseline; bench fleet measures the cost of a decision.

Cause of the planner's cost (bench fleet, per endpoint and plan): forming looked through all endpoints once for each fabric domain.

--- a/Libraries/LibFleet/FleetCensus.cpp
+++ b/Libraries/LibFleet/FleetCensus.cpp
@@ -35,6 +35,12 @@
     return false;
   if (Entry.said().Life != Said.Life)
     Entry.Weights.reset();
+  FabricKey Before(Entry.said().Service, Entry.said().FabricDomain);
+  FabricKey After(Said.Service, Said.FabricDomain);
+  if (Added || Before != After) {
+    this->ByFabric[Before].erase(Said.Endpoint);
+    this->ByFabric[After].insert(Said.Endpoint);
+  }
   Entry.Heard = {.Said = Said, .At = Now - Age};
   followWeights(Entry);
   const CensusEntry *Owner = this->find(this->OwnerOf[Said.Host]);
@@ -47,6 +53,10 @@
   auto IsGone = [Now, Silence](const CensusEntry &Entry) {
     return Now - Entry.Heard.At >= Entry.said().Lifetime + Silence;
   };
+  for (auto &[Key, Names] : this->ByFabric)
+    std::erase_if(Names, [&](const EndpointName &Name) {
+      return IsGone(this->Entries.at(Name));
+    });
   std::erase_if(this->Entries,
                 [&IsGone](const auto &Each) { return IsGone(Each.second); });
   std::erase_if(this->OwnerOf, [this](const auto &Each) {
--- a/Libraries/LibFleet/FleetCensus.h
+++ b/Libraries/LibFleet/FleetCensus.h
@@ -12,6 +12,7 @@
 #include <LibFleet/AnnouncementTable.h>
 #include <LibFleet/FormationPolicy.h>
 #include <map>
+#include <set>
 
 namespace carobhinge {
 
@@ -49,6 +50,12 @@
   [[nodiscard]] const std::map<EndpointName, CensusEntry> &all() const {
     return this->Entries;
   }
+  /// The endpoints of one service in one fabric domain.
+  using FabricKey = std::pair<ServiceName, FabricDomainName>;
+  [[nodiscard]] const std::map<FabricKey, std::set<EndpointName>> &
+  byFabric() const {
+    return this->ByFabric;
+  }
 
   /// True if another endpoint on the same host was heard first and is still
   /// fresh. Only one endpoint of a host can be in a group.
@@ -56,6 +63,7 @@
 
 private:
   std::map<EndpointName, CensusEntry> Entries;
+  std::map<FabricKey, std::set<EndpointName>> ByFabric;
   std::map<HostName, EndpointName> OwnerOf;
   std::uint64_t HeardCount = 0;
 };
--- a/Libraries/LibFleet/GroupPlanner.cpp
+++ b/Libraries/LibFleet/GroupPlanner.cpp
@@ -126,10 +126,12 @@
 std::vector<Candidate> GroupPlanner::freeEndpoints(TimePoint Now,
                                                    const Need &For) const {
   std::vector<Candidate> Result;
-  for (const auto &[Name, Entry] : this->Census.all()) {
-    if (Entry.said().Service != For.Service ||
-        Entry.said().FabricDomain != For.FabricDomain ||
-        this->Placements.contains(Name) || !this->isAvailable(Now, Entry))
+  auto Found = this->Census.byFabric().find({For.Service, For.FabricDomain});
+  if (Found == this->Census.byFabric().end())
+    return Result;
+  for (const EndpointName &Name : Found->second) {
+    const CensusEntry &Entry = *this->Census.find(Name);
+    if (this->Placements.contains(Name) || !this->isAvailable(Now, Entry))
       continue;
     Candidate Free{.Endpoint = Name,
                    .FirstHeard = Entry.FirstHeard,
@@ -260,17 +262,15 @@
 }
 
 void GroupPlanner::form(TimePoint Now) {
-  std::map<ServiceName, std::set<FabricDomainName>> Fabrics;
-  for (const auto &[Name, Entry] : this->Census.all())
-    Fabrics[Entry.said().Service].insert(Entry.said().FabricDomain);
-  for (const auto &[Service, Wanted] : this->Intent.Services) {
-    if (Wanted.HostsPerGroup == 0)
+  for (const auto &[Key, Names] : this->Census.byFabric()) {
+    auto Wanted = this->Intent.Services.find(Key.first);
+    if (Wanted == this->Intent.Services.end() ||
+        Wanted->second.HostsPerGroup == 0)
       continue;
-    for (const FabricDomainName &Fabric : Fabrics[Service])
-      this->formInFabric(Now, {.Service = Service,
-                               .Version = Wanted.Version,
-                               .Size = Wanted.HostsPerGroup,
-                               .FabricDomain = Fabric});
+    this->formInFabric(Now, {.Service = Key.first,
+                             .Version = Wanted->second.Version,
+                             .Size = Wanted->second.HostsPerGroup,
+                             .FabricDomain = Key.second});
   }
   this->place(Now);
 }
--- a/Meta/CMake/LibFleet.cmake
+++ b/Meta/CMake/LibFleet.cmake
@@ -12,3 +12,5 @@
 set_tests_properties(LibFleet PROPERTIES ENVIRONMENT
                      "RC_PARAMS=seed=20261203 max_success=60")
 carobhinge_test(FleetScenarios FleetCluster)
+carobhinge_benchmark(Groups FleetCluster)
+carobhinge_benchmark(Fleet LibFleet)
