--- a/Libraries/LibFleet/GroupPlannerState.cpp
+++ b/Libraries/LibFleet/GroupPlannerState.cpp
@@ -95,9 +95,10 @@
     for (const Member &Of : Each.Members)
       Placed.insert(Of.Endpoint);
   std::vector<RosterGroup> Sorted = this->Published.Groups;
-  std::ranges::stable_partition(Sorted, [](const RosterGroup &Listed) {
-    return Listed.State != GroupState::Broken;
-  });
+  std::stable_partition(Sorted.begin(), Sorted.end(),
+                        [](const RosterGroup &Listed) {
+                          return Listed.State != GroupState::Broken;
+                        });
   for (const RosterGroup &Listed : Sorted) {
     bool Taken =
         this->Groups.contains(Listed.Group) ||
