--- a/Tests/LibIntent/TestDisseminationRules.cpp
+++ b/Tests/LibIntent/TestDisseminationRules.cpp
@@ -76,6 +76,77 @@
   EXPECT_TRUE(this->InForce.ready());
 }
 
+/// A host of another domain may be as old as this one was.
+TEST_F(DisseminationRules, AnotherDomainVouchesForNothing) {
+  std::uint64_t Number = this->polled("x");
+  this->deliver("x", answer(Number, true, 1, 1));
+  this->Now += 11s;
+  this->Tree.tick(this->Now);
+  this->Now += 2s;
+  this->Tree.tick(this->Now);
+  EXPECT_FALSE(this->InForce.ready());
+}
+
+/// Whom a host with the candidates \p First and \p Second asks in twelve polls
+/// if the first one never answers and the second one always does, with news.
+static std::string asked(const HostName &First, const HostName &Second,
+                         const HostName &InDomain) {
+  IntentInForce InForce({.Domain = "a"});
+  TimePoint Now(1h);
+  Dissemination Tree({.Parents = {First, Second}, .DomainPeers = {InDomain}},
+                     InForce, Now);
+  std::string Asked;
+  for (int I = 0; I < 12; ++I, Now += 1s)
+    for (const IntentSend &Each : Tree.tick(Now)) {
+      if (!Each.Message.poll().wants_pushes())
+        continue;
+      Asked += Each.To;
+      message::IntentMessage Message;
+      Message.mutable_answer()->set_number(Each.Message.poll().number());
+      Message.mutable_answer()->set_heard_control(true);
+      if (Each.To == Second)
+        Tree.handle(Now, Second, Message);
+    }
+  return Asked;
+}
+
+TEST(DisseminationParents, ALostOneIsLeftAndTriedAgainInsideTheDomainOnly) {
+  EXPECT_EQ(asked("p", "q", "p"), "pqqqqqqqqpqq");
+  EXPECT_EQ(asked("p", "q", "q"), "pqqqqqqqqqqq");
+}
+
+/// The log's leader may stand anywhere, also below a host that needs its word.
+TEST_F(DisseminationRules, ABetterInformedChildIsAskedBack) {
+  message::IntentMessage Message;
+  Message.mutable_poll()->set_heard_control(true);
+  Message.mutable_poll()->set_control_age_ms(500);
+  std::vector<IntentSend> Sends = this->deliver("p", Message);
+  ASSERT_EQ(Sends.size(), 2);
+  EXPECT_TRUE(Sends[1].Message.has_poll());
+  EXPECT_FALSE(this->InForce.heardControlAt().has_value());
+  this->Tree.confirmCurrent(this->Now - 1400ms);
+  EXPECT_EQ(this->deliver("p", Message).size(), 1);
+}
+
+TEST_F(DisseminationRules, AFullOrSilentParentIsLeft) {
+  message::IntentMessage Full = answer(this->polled("x"), true, 1, 1);
+  Full.mutable_answer()->set_full(true);
+  this->deliver("x", Full);
+  EXPECT_EQ(this->Tree.parent(), "p");
+  this->Now += 11s;
+  std::uint64_t Number = this->polled("p");
+  this->deliver("p", answer(Number + 1, true, 1, 0));
+  EXPECT_EQ(this->Tree.parent(), "x");
+}
+
+TEST_F(DisseminationRules, AChildThatKnowsMoreIsAskedForIt) {
+  message::IntentMessage Message;
+  Message.mutable_poll()->set_version(9);
+  std::vector<IntentSend> Sends = this->deliver("p", Message);
+  ASSERT_EQ(Sends.size(), 2);
+  EXPECT_TRUE(Sends[1].Message.poll().wants_text());
+}
+
 TEST_F(DisseminationRules, AnAgeVouchesOnlyForAVersionThatArrived) {
   message::IntentMessage Message = answer(this->polled("p"), true, 2, 1);
   Message.mutable_answer()->set_heard_control(true);
--- a/Tests/LibRouting/TestRouter.cpp
+++ b/Tests/LibRouting/TestRouter.cpp
@@ -49,10 +49,13 @@
   World.setTargets({RouterWorld::target("a", 1)});
   learnTimes(World, 5, 1s);
   World.submit(World.request());
+  // Ahead of it stands one that may wait longer.
+  World.submit(World.request());
   RoutedRequest Waiting = World.request();
   Waiting.Deadline = World.Now + 5s;
   World.submit(Waiting);
-  World.advance(3900ms);
+  // Twice the second that it is expected to take is left for it.
+  World.advance(2900ms);
   EXPECT_EQ(World.ending(Waiting.Id), "");
   World.advance(200ms);
   EXPECT_EQ(World.ending(Waiting.Id), "refused");
@@ -211,6 +214,77 @@
   EXPECT_EQ(World.Cancelled, std::set<AttemptId>{Sent[0].Attempt});
 }
 
+TEST(Router, TargetsThatLoseAgainstHedgesBecomeStragglers) {
+  RouterWorld World(smallOptions());
+  World.setTargets({RouterWorld::target("a", 8), RouterWorld::target("b", 8)});
+  // A few answers take longer, so that a hedge starts well after the median.
+  for (int I = 0; I < 10; ++I) {
+    learnTimes(World, 6, 100ms);
+    learnTimes(World, 1, 300ms);
+  }
+  auto FinishAll = [&World](std::string_view Where, AttemptResult Result) {
+    for (AttemptId Each : World.running())
+      if (World.whereIs(Each) == Where)
+        World.finish(Each, Result);
+  };
+  // From now on a does not answer.
+  for (int I = 0; I < 12; ++I) {
+    for (int J = 0; J < 8; ++J)
+      World.submit(World.request());
+    World.advance(100ms);
+    FinishAll("b#1", AttemptResult::Complete);
+    World.advance(300ms);
+    FinishAll("b#1", AttemptResult::Complete);
+    FinishAll("a#1", AttemptResult::Cancelled);
+  }
+  for (const TargetUse &Each : World.status().Targets)
+    EXPECT_EQ(Each.Straggler, Each.TargetName == "a");
+}
+
+TEST(Router, HedgesStayWithinTheirShareWhenAllAnswersAreLate) {
+  RouterWorld World(smallOptions());
+  World.setTargets(
+      {RouterWorld::target("a", 100), RouterWorld::target("b", 100)});
+  learnTimes(World, 30, 100ms);
+  for (int I = 0; I < 40; ++I)
+    World.submit(World.request());
+  World.advance(10s);
+  // The burst is all used up; RouterWorld checks that no more than that is.
+  EXPECT_EQ(World.Hedged, 10U);
+  EXPECT_TRUE(World.Violations.empty());
+}
+
+TEST(Router, FailuresSetAsideAtMostHalfOfTheTargets) {
+  RouterWorld World(smallOptions());
+  World.setTargets({RouterWorld::target("a", 9), RouterWorld::target("b", 9),
+                    RouterWorld::target("c", 9)});
+  // As many as the retry budget pays for.
+  for (int I = 0; I < 10; ++I) {
+    RequestId Request = World.submit(World.request());
+    ASSERT_EQ(World.dispatches(Request).size(), 1U);
+    World.finish(World.running().front(), AttemptResult::FailedAfterByte);
+    ASSERT_EQ(World.dispatches(Request).size(), 2U);
+    // Also a failed target that is not set aside is not tried again at once.
+    EXPECT_NE(World.dispatches(Request)[0].TargetName,
+              World.dispatches(Request)[1].TargetName);
+    World.callerGone(Request);
+    if (!World.running().empty())
+      World.finish(World.running().front(), AttemptResult::Cancelled);
+  }
+}
+
+TEST(Router, AnOverloadedTargetIsLeftAloneAsLongAsItAsked) {
+  RouterWorld World(smallOptions());
+  World.setTargets({RouterWorld::target("a", 9)});
+  World.submit(World.request());
+  World.finish(World.running().front(), AttemptResult::Overloaded, 2s);
+  RequestId Next = World.submit(World.request());
+  World.advance(1900ms);
+  EXPECT_TRUE(World.dispatches(Next).empty());
+  World.advance(200ms);
+  EXPECT_EQ(World.dispatches(Next).size(), 1U);
+}
+
 TEST(Router, AFailingTargetIsLeftAloneForAWhile) {
   RouterWorld World(smallOptions());
   World.setTargets({RouterWorld::target("a", 9), RouterWorld::target("b", 9)});
