--- a/Tests/LibFleet/TestGroupPlanner.cpp
+++ b/Tests/LibFleet/TestGroupPlanner.cpp
@@ -365,10 +365,10 @@
 
 TEST(GroupPlanner, OnlyOneEndpointOfAHostIsInAGroup) {
   FleetCluster Cluster({.EnginesPerFabric = 3});
-  Cluster.engine("engine-1-1").Said.Host = "shared";
+  Cluster.engine("engine-1-3").Said.Host = "shared";
   Cluster.engine("engine-1-2").Said.Host = "shared";
   expectWhole(Cluster, minutes(2));
-  bool First = Cluster.engine("engine-1-1").Said.Place.Group.empty();
+  bool First = Cluster.engine("engine-1-3").Said.Place.Group.empty();
   bool Second = Cluster.engine("engine-1-2").Said.Place.Group.empty();
   EXPECT_NE(First, Second);
 }
@@ -390,3 +390,16 @@
   EXPECT_EQ(After(2, 5), Verdict::Drained);
   EXPECT_EQ(Watch.verdict(Now + seconds(10), "g", 2, 5), Verdict::SilentOnly);
 }
+
+/// A member leaves at any moment around a change of the grant.
+TEST(GroupPlanner, LeaveAroundANewGrantIsDrained) {
+  for (int Quarters = 0; Quarters < 40; ++Quarters) {
+    FleetCluster Cluster({.EnginesPerFabric = 5, .RequestsPerSecond = 20});
+    expectWhole(Cluster, minutes(2));
+    Cluster.restartEntryHost(Cluster.holder());
+    Cluster.run(std::chrono::milliseconds(250 * Quarters));
+    Cluster.leave("engine-1-4");
+    Cluster.run(seconds(20));
+    EXPECT_EQ(Cluster.Violations, std::vector<std::string>()) << Quarters;
+  }
+}
