--- a/Libraries/LibFleet/GroupPlanner.cpp
+++ b/Libraries/LibFleet/GroupPlanner.cpp
@@ -86,6 +86,7 @@
     return {};
   if (!this->Adopted)
     this->adopt(Now);
+  this->noteDarkFabrics(Now);
   for (auto &[Name, Each] : this->Groups) {
     this->observe(Now, Each);
     this->followDrain(Now, Each);
@@ -102,7 +103,8 @@
   this->Placements.clear();
   for (const auto &[Name, Each] : this->Groups) {
     for (std::uint32_t Rank = 0; Rank < Each.Members.size(); ++Rank) {
-      if (this->isMissing(Now, Each, Rank))
+      if (Each.Members[Rank].Endpoint.empty() ||
+          this->isMissing(Now, Each, Rank))
         continue;
       [[maybe_unused]] bool Added =
           this->Placements
@@ -124,10 +126,12 @@
 std::vector<Candidate> GroupPlanner::freeEndpoints(TimePoint Now,
                                                    const Need &For) const {
   std::vector<Candidate> Result;
-  for (const auto &[Name, Entry] : this->Census.all()) {
-    if (Entry.said().Service != For.Service ||
-        Entry.said().FabricDomain != For.FabricDomain ||
-        this->Placements.contains(Name) || !this->isAvailable(Now, Entry))
+  auto Found = this->Census.byFabric().find({For.Service, For.FabricDomain});
+  if (Found == this->Census.byFabric().end())
+    return Result;
+  for (const EndpointName &Name : Found->second) {
+    const CensusEntry &Entry = *this->Census.find(Name);
+    if (this->Placements.contains(Name) || !this->isAvailable(Now, Entry))
       continue;
     Candidate Free{.Endpoint = Name,
                    .FirstHeard = Entry.FirstHeard,
@@ -164,7 +168,8 @@
 std::vector<GroupPlanner::Group *> GroupPlanner::brokenGroups(TimePoint Now) {
   std::vector<Group *> Result;
   for (auto &[Name, Each] : this->Groups)
-    if (Each.State == GroupState::Broken)
+    if (Each.State == GroupState::Broken &&
+        !this->isReturning(Now, Each.FabricDomain))
       Result.push_back(&Each);
   std::ranges::stable_sort(Result, std::greater(), [this, Now](Group *Each) {
     return this->survivors(Now, *Each);
@@ -257,17 +262,15 @@
 }
 
 void GroupPlanner::form(TimePoint Now) {
-  std::map<ServiceName, std::set<FabricDomainName>> Fabrics;
-  for (const auto &[Name, Entry] : this->Census.all())
-    Fabrics[Entry.said().Service].insert(Entry.said().FabricDomain);
-  for (const auto &[Service, Wanted] : this->Intent.Services) {
-    if (Wanted.HostsPerGroup == 0)
+  for (const auto &[Key, Names] : this->Census.byFabric()) {
+    auto Wanted = this->Intent.Services.find(Key.first);
+    if (Wanted == this->Intent.Services.end() ||
+        Wanted->second.HostsPerGroup == 0)
       continue;
-    for (const FabricDomainName &Fabric : Fabrics[Service])
-      this->formInFabric(Now, {.Service = Service,
-                               .Version = Wanted.Version,
-                               .Size = Wanted.HostsPerGroup,
-                               .FabricDomain = Fabric});
+    this->formInFabric(Now, {.Service = Key.first,
+                             .Version = Wanted->second.Version,
+                             .Size = Wanted->second.HostsPerGroup,
+                             .FabricDomain = Key.second});
   }
   this->place(Now);
 }
@@ -276,7 +279,7 @@
   std::vector<Candidate> Free = this->freeEndpoints(Now, For);
   std::vector<std::uint32_t> Ranks(For.Size);
   std::iota(Ranks.begin(), Ranks.end(), 0);
-  while (Free.size() >= For.Size + this->Options.SparesPerFabricDomain) {
+  while (Free.size() >= For.Size) {
     Group New;
     New.Number = this->nextNumber();
     New.Name = For.Service + "-" + std::to_string(this->Epoch) + "." +
--- a/Libraries/LibFleet/GroupPlanner.h
+++ b/Libraries/LibFleet/GroupPlanner.h
@@ -29,7 +29,9 @@
   std::string Formation = "loaded-rank";
   std::string Repair = "spare-first";
   /// How long after the end of its lifetime a silent member counts as paused.
-  /// Then it counts as lost.
+  /// Then it counts as lost. Shorter waits hardly lower group downtime, but
+  /// while entry hosts are cut from one another the planner hears only some of
+  /// the announcements and would take members that serve as lost.
   Duration DeathWait = std::chrono::seconds(10);
   /// How long a member may take to join and load its weights.
   Duration JoinTimeout = std::chrono::minutes(10);
@@ -48,8 +50,6 @@
   Duration ForgetAfter = std::chrono::minutes(30);
   /// Members that load weights at once, as the weight store is rate-limited.
   std::uint32_t LoadsAtOnce = 4;
-  /// Free endpoints that are kept out of new groups in each fabric domain.
-  std::uint32_t SparesPerFabricDomain = 0;
 };
 
 /// Post \p Sent to the endpoint once, and report to orderAnswered().
@@ -115,7 +115,8 @@
 
 private:
   struct Member {
-    EndpointName Endpoint;
+    /// Empty if it was not heard when an earlier holder's group was taken over.
+    EndpointName Endpoint = {};
     Incarnation Life = 0;
     /// It was seen in its place since the group got its number.
     bool Joined = false;
@@ -181,10 +182,15 @@
   void adopt(TimePoint Now);
   void adoptRoster(TimePoint Now);
   void adoptAnnounced(TimePoint Now);
+  [[nodiscard]] bool isListed(const Group &Each) const;
+  void fillIn(TimePoint Now, Group &Each);
   Condition silentCondition(TimePoint Now, TimePoint Since, Duration Lifetime,
                             const Member &Of) const;
   Condition condition(TimePoint Now, const Group &In, std::uint32_t Rank) const;
   void observe(TimePoint Now, Group &Each);
+  void noteDarkFabrics(TimePoint Now);
+  [[nodiscard]] bool isReturning(TimePoint Now,
+                                 const FabricDomainName &Fabric) const;
   void followDrain(TimePoint Now, Group &Each);
   [[nodiscard]] bool isDrained(TimePoint Now, const Group &Each) const;
   [[nodiscard]] bool isOutdated(const Group &Each) const;
@@ -233,6 +239,8 @@
   TimePoint GrantedAt;
   TimePoint ConfirmedAt;
   bool Adopted = false;
+  /// When no endpoint of a fabric domain was last heard.
+  std::map<FabricDomainName, TimePoint> LastDark;
   std::map<GroupName, Group> Groups;
   /// Rebuilt by place(); missing members have none.
   std::map<EndpointName, Placement> Placements;
