LibServe: Confirm planner grants by a linearizable read

Cause: LibFleet's planner acts only while its grant was confirmed a moment ago; the drivers never confirmed one, told no newest known epoch with their outstanding work, and did not tell the directory which entry hosts are heard. TestCarobhinge's LostDiskIsRepairedBeforeASecondHostGoes had failed once, in the test itself: it asked for the leader in a moment without one.

Change: presence is answered from a linearizable read at the leader; the three are wired; the harness waits for a leader.

Ruled out: taking the last periodic read as the confirmation, which could be half a second older than a newer grant.

--- a/Libraries/LibServe/ControlHost.cpp
+++ b/Libraries/LibServe/ControlHost.cpp
@@ -149,14 +149,8 @@
   co_return co_await awaitResult<message::HistoryResult>(std::move(Begin));
 }
 
-message::PresenceResult
-ControlHost::presence(const HostName &From, const message::PresenceCall &Call) {
-  std::lock_guard Guard(this->WatchLock);
-  if (this->Watch)
-    this->Watch->heard(monotonicNow(), Call.failure_domain(), From,
-                       Call.incarnation());
+static message::PresenceResult presenceResult(const PlannerGrant *Grant) {
   message::PresenceResult Result;
-  const PlannerGrant *Grant = this->KnownGrants.find(Call.failure_domain());
   if (!Grant)
     return Result;
   Result.set_planner(Grant->Host);
@@ -171,6 +165,30 @@
   return Result;
 }
 
+asio::awaitable<message::PresenceResult>
+ControlHost::presence(HostName From, message::PresenceCall Call) {
+  message::PresenceResult Known;
+  {
+    std::lock_guard Guard(this->WatchLock);
+    if (this->Watch)
+      this->Watch->heard(monotonicNow(), Call.failure_domain(), From,
+                         Call.incarnation());
+    Known = presenceResult(this->KnownGrants.find(Call.failure_domain()));
+  }
+  auto Begin = [Log = this->log(ControlLog), Known,
+                Domain = Call.failure_domain()](
+                   std::function<void(message::PresenceResult)> Done) {
+    Log->read([Known, Domain, Done = std::move(Done)](const ReadResult &Read) {
+      const auto *State = dynamic_cast<const ControlState *>(Read.Machine);
+      message::PresenceResult Result =
+          State ? presenceResult(State->grants().find(Domain)) : Known;
+      Result.set_confirmed(State != nullptr);
+      Done(std::move(Result));
+    });
+  };
+  co_return co_await awaitResult<message::PresenceResult>(std::move(Begin));
+}
+
 /// The message of a call, or an exception that ends the call as lost.
 template <class Message> static Message parsed(const WireExchange &Call) {
   Message Result;
@@ -206,7 +224,8 @@
   Table["control.presence"] =
       [this](WireExchange &Call) -> asio::awaitable<void> {
     auto Asked = parsed<message::PresenceCall>(Call);
-    message::PresenceResult Result = this->presence(Call.caller(), Asked);
+    message::PresenceResult Result =
+        co_await this->presence(Call.caller(), std::move(Asked));
     co_await Call.send(Result.SerializeAsString());
   };
 }
--- a/Libraries/LibServe/ControlHost.h
+++ b/Libraries/LibServe/ControlHost.h
@@ -47,8 +47,8 @@
   propose(message::ProposeCall Call);
   boost::asio::awaitable<message::OpenResult> open(message::OpenCall Call);
   boost::asio::awaitable<message::HistoryResult> history();
-  message::PresenceResult presence(const HostName &From,
-                                   const message::PresenceCall &Call);
+  boost::asio::awaitable<message::PresenceResult>
+  presence(HostName From, message::PresenceCall Call);
 
   /// Adds what this host answers to the table of a WireServer.
   void addHandlers(std::map<std::string, WireHandler, std::less<>> &Table);
--- a/Libraries/LibServe/FleetKeeper.cpp
+++ b/Libraries/LibServe/FleetKeeper.cpp
@@ -134,6 +134,7 @@
     std::lock_guard Guard(this->Lock);
     Report.Epoch = this->Directory.roster().Epoch;
     Report.Sequence = this->Directory.roster().Sequence;
+    Report.KnownEpoch = std::max(Report.Epoch, this->NewestEpoch);
     this->Planner.outstanding(monotonicNow(), Report);
   }
   this->toDomain("fleet.outstanding", toMessage(Report).SerializeAsString());
@@ -188,6 +189,14 @@
                      toMessage(Known).SerializeAsString());
 }
 
+std::vector<HostName> FleetKeeper::heardEntryHosts() const {
+  std::vector<HostName> Heard{this->Self};
+  for (const HostName &Host : this->Links.domainEntryHosts())
+    if (this->Links.link(Host)->connected())
+      Heard.push_back(Host);
+  return Heard;
+}
+
 void FleetKeeper::tick() {
   TimePoint Now = monotonicNow();
   if (Now >= this->NextRelay) {
@@ -198,8 +207,10 @@
   bool NewSecond = Now >= this->NextSecond;
   {
     std::lock_guard Guard(this->Lock);
-    if (NewSecond)
+    if (NewSecond) {
+      this->Directory.entryHostsHeard(Now, this->heardEntryHosts());
       this->Directory.tick(Now);
+    }
     Effects = this->Planner.plan(Now);
   }
   this->carryOut(std::move(Effects));
@@ -313,6 +324,9 @@
 
 void FleetKeeper::presenceAnswered(const message::PresenceResult &Result) {
   std::lock_guard Guard(this->Lock);
+  if (Result.confirmed() && this->GrantEpoch > 0 &&
+      Result.epoch() == this->GrantEpoch)
+    this->Planner.confirmed(monotonicNow());
   // A control host that lags behind may still tell of an older epoch.
   if (Result.epoch() <= this->NewestEpoch)
     return;
--- a/Libraries/LibServe/FleetKeeper.h
+++ b/Libraries/LibServe/FleetKeeper.h
@@ -66,6 +66,7 @@
   boost::asio::awaitable<void> recordOrder(RecordOrder Effect);
   boost::asio::awaitable<void> tellPresence(HostName ControlHost);
   void presenceAnswered(const message::PresenceResult &Result);
+  [[nodiscard]] std::vector<HostName> heardEntryHosts() const;
   void toDomain(const std::string &Method, const std::string &Message);
 
   boost::asio::any_io_executor Executor;
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -286,7 +286,7 @@
   return Serving;
 }
 
-std::size_t Deployment::leader() {
+std::optional<std::size_t> Deployment::findLeader() {
   for (std::size_t I = 0; I < this->Hosts.size(); ++I) {
     std::string Text = this->operatorsGet(this->Hosts[I], "/v1/status");
     if (Text.empty())
@@ -296,7 +296,16 @@
     if (!Logs.empty() && Logs[0].at("role").as_string() == "leader")
       return I;
   }
-  throw std::runtime_error("the control log has no leader");
+  return std::nullopt;
+}
+
+std::size_t Deployment::leader() {
+  std::optional<std::size_t> Found;
+  this->waitFor("the control log has a leader", [&] {
+    Found = this->findLeader();
+    return Found.has_value();
+  });
+  return *Found;
 }
 
 void Deployment::start() {
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -74,7 +74,7 @@
   std::string operatorsGet(const HostAddresses &Host, const std::string &Path);
   /// Asks over and over until \p Reached. \throws std::runtime_error
   void waitFor(const std::string &What, const std::function<bool()> &Reached);
-  /// The index in hosts() of the leader of the control log.
+  /// The index in hosts() of the leader of the control log; waits for one.
   std::size_t leader();
 
   /// Puts links between the hosts of \p FailureDomain and all others. To be
@@ -96,6 +96,7 @@
   void startServices();
   std::vector<std::string> announceTo(const std::string &FailureDomain);
   [[nodiscard]] std::string file(const std::string &Name) const;
+  std::optional<std::size_t> findLeader();
   std::size_t servingGroups(const HostAddresses &Host);
 
   DeploymentPlan Plan;
