LibServe, LibRouting: Put every setting of the intent in force

Change: RateGate (token bucket for each workspace, its part for each entry host); the warm-up curve from the intent's length; the intent bounds what an endpoint says of its batching limit and its fencing; spares is gone.

Ruled out: refusing a call that must not repeat as not run when its rate is exceeded, since nothing was asked of the ledger; it is refused as unknown.

Conclusion: no member of the intent is without effect any more, depends_on aside, which orders the record and is checked for cycles.

--- a/Libraries/LibFleet/EndpointDirectory.cpp
+++ b/Libraries/LibFleet/EndpointDirectory.cpp
@@ -177,14 +177,18 @@
   std::uint32_t Limit = Front.Said.BatchLimit;
   if (!For.WarmingUp)
     return this->WarmShare.share(Now, For.Name, For.Life, Limit);
-  auto Service = this->Intent.Services.find(For.Service);
-  std::uint32_t Initial = Service == this->Intent.Services.end()
-                              ? FleetService().WarmUpBudget
-                              : Service->second.WarmUpBudget;
+  auto Found = this->Intent.Services.find(For.Service);
+  FleetService Service =
+      Found == this->Intent.Services.end() ? FleetService() : Found->second;
+  std::uint32_t Initial = Service.WarmUpBudget;
+  WarmUpCurve Curve = this->Options.Curve;
+  if (Service.WarmUpLength > Duration::zero())
+    Curve.TimePerDoubling =
+        timePerDoubling(Service.WarmUpLength, Initial, Limit);
   // A target that is slow without saying so is held at the initial budget.
   Duration Age = Members.Cold ? Now - Members.ColdSince : Duration::zero();
-  std::uint32_t Budget = warmUpBudget(Initial, Limit, Age, Front.Said.Answered,
-                                      this->Options.Curve);
+  std::uint32_t Budget =
+      warmUpBudget(Initial, Limit, Age, Front.Said.Answered, Curve);
   return this->Share.share(Now, For.Name, For.Life, Budget);
 }
 
--- a/Libraries/LibFleet/FleetIntent.h
+++ b/Libraries/LibFleet/FleetIntent.h
@@ -10,6 +10,7 @@
 #define LIBFLEET_FLEETINTENT_H
 
 #include <LibCore/Names.h>
+#include <LibCore/Time.h>
 #include <map>
 #include <string>
 
@@ -22,6 +23,9 @@
   std::string Version = {};
   /// Requests that a cold target bears at once, over all entry hosts.
   std::uint32_t WarmUpBudget = 2;
+  /// How long the budget takes to grow to the full limit, if the target
+  /// answers enough; zero for the directory's own curve.
+  Duration WarmUpLength{};
 
   bool operator==(const FleetService &) const = default;
 };
--- a/Libraries/LibFleet/WarmUpShare.cpp
+++ b/Libraries/LibFleet/WarmUpShare.cpp
@@ -49,6 +49,15 @@
   });
 }
 
+Duration timePerDoubling(Duration Length, std::uint32_t Initial,
+                         std::uint32_t Limit) {
+  std::int64_t Doublings = 1;
+  std::uint64_t Reached = std::max<std::uint64_t>(1, Initial);
+  for (Reached *= 2; Reached < Limit; Reached *= 2)
+    ++Doublings;
+  return std::max<Duration>(Length / Doublings, std::chrono::milliseconds(1));
+}
+
 WarmUpShare::WarmUpShare(HostName Self, std::vector<HostName> EntryHosts,
                          Duration Overlap)
     : Self(std::move(Self)), Overlap(Overlap), Current(std::move(EntryHosts)) {}
--- a/Libraries/LibFleet/WarmUpShare.h
+++ b/Libraries/LibFleet/WarmUpShare.h
@@ -35,6 +35,11 @@
                            Duration Age, std::uint64_t Answered,
                            const WarmUpCurve &Curve);
 
+/// The time for one doubling if the budget is to grow from \p Initial to
+/// \p Limit in \p Length. At least a millisecond.
+Duration timePerDoubling(Duration Length, std::uint32_t Initial,
+                         std::uint32_t Limit);
+
 /// This entry host's part of budgets, across changes of the list of entry
 /// hosts. Dealing takes time in proportion to slots and entry hosts, so that
 /// the last result of each target is remembered.
--- a/Libraries/LibIntent/Intent.h
+++ b/Libraries/LibIntent/Intent.h
@@ -118,8 +118,6 @@
   std::string Version;
   /// Models only; a plain service has one host in each "group".
   std::int64_t HostsPerGroup = 1;
-  /// Hosts of each fabric domain kept out of groups for repairs.
-  std::int64_t Spares = 0;
   /// Requests that a warm target takes at once: the batching limit of a model
   /// group, the concurrency of a plain service's endpoint.
   std::int64_t SlotLimit = 1;
--- a/Libraries/LibIntent/IntentJson.cpp
+++ b/Libraries/LibIntent/IntentJson.cpp
@@ -62,7 +62,6 @@
 
 static void addModel(const ServiceSpec &Spec, json::object &Into) {
   Into["hosts_per_group"] = Spec.HostsPerGroup;
-  Into["spares"] = Spec.Spares;
   Into["batch_limit"] = Spec.SlotLimit;
   Into["fencing"] =
       Spec.Fencing == FencingRule::Checked ? "checked" : "ignored";
--- a/Libraries/LibIntent/IntentParser.cpp
+++ b/Libraries/LibIntent/IntentParser.cpp
@@ -145,7 +145,6 @@
 static void readModel(JsonReader &Reader, ServiceSpec &Service) {
   Service.Version = Reader.requiredString("version");
   Service.HostsPerGroup = readCount(Reader, "hosts_per_group", 1, 1);
-  Service.Spares = readCount(Reader, "spares", 0, 0);
   Service.SlotLimit = readCount(Reader, "batch_limit", 1, 1);
   Service.Fencing = readSecond(Reader, "fencing", {"checked", "ignored"})
                         ? FencingRule::Ignored
--- a/Libraries/LibLedger/CallAttempt.cpp
+++ b/Libraries/LibLedger/CallAttempt.cpp
@@ -202,8 +202,8 @@
   if (Event.Reply.standing() == message::LEDGER_GRANTED) {
     this->Current = State::Connecting;
     this->emit(DispatchCall{.Number = this->DispatchNumber,
-                        .Endpoint = this->Slot.Endpoint,
-                        .Address = this->Slot.Address});
+                            .Endpoint = this->Slot.Endpoint,
+                            .Address = this->Slot.Address});
     return;
   }
   this->releaseSlot();
--- a/Libraries/LibServe/CallerService.cpp
+++ b/Libraries/LibServe/CallerService.cpp
@@ -46,6 +46,17 @@
     co_await this->refuse(Exchange, Call, std::move(Why));
     co_return;
   }
+  auto Wait = Forwarded ? std::optional<Duration>()
+                        : this->Parts.Routers.overRate(Call.Traffic.Workspace);
+  if (Wait) {
+    // Of a key that must not repeat, nothing is said about earlier calls.
+    Problem Why{.Status = 429,
+                .NotRun = Call.Call->Idempotent,
+                .Reason = "rate-exceeded",
+                .RetryAfter = *Wait};
+    co_await this->refuse(Exchange, Call, std::move(Why));
+    co_return;
+  }
   if (Call.Call->Idempotent) {
     IdempotentCall Serving(this->Parts, Exchange, std::move(Call));
     co_await Serving.run();
--- a/Libraries/LibServe/FleetKeeper.cpp
+++ b/Libraries/LibServe/FleetKeeper.cpp
@@ -66,12 +66,23 @@
   }
   TimePoint Now = monotonicNow();
   std::lock_guard Guard(this->Lock);
-  bool News = this->Directory.announced(Now, *Said, Duration::zero());
-  this->Planner.announced(Now, *Said, Duration::zero());
-  if (News)
+  if (this->take(Now, std::move(*Said), Duration::zero()))
     this->Relays.push_back({.Json = Json, .ReceivedAt = Now});
 }
 
+/// Lets the intent have the last word over what an endpoint says of itself.
+/// False if it was old news. Called with the lock held.
+bool FleetKeeper::take(TimePoint Now, Announcement Said, Duration Age) {
+  auto Bounds = this->EndpointBoundsOf.find(Said.Service);
+  if (Bounds != this->EndpointBoundsOf.end()) {
+    Said.BatchLimit = std::min(Said.BatchLimit, Bounds->second.SlotLimit);
+    Said.ChecksFencing = Said.ChecksFencing && !Bounds->second.IgnoresFencing;
+  }
+  bool News = this->Directory.announced(Now, Said, Age);
+  this->Planner.announced(Now, Said, Age);
+  return News;
+}
+
 void FleetKeeper::relayed(const message::AnnouncementRelay &Message) {
   TimePoint Now = monotonicNow();
   std::lock_guard Guard(this->Lock);
@@ -80,14 +91,13 @@
     std::optional<Announcement> Said = parseAnnouncement(Item.json(), Faults);
     if (!Said)
       continue;
-    Duration Age = std::chrono::milliseconds(Item.age_ms());
-    this->Directory.announced(Now, *Said, Age);
-    this->Planner.announced(Now, *Said, Age);
+    this->take(Now, std::move(*Said), std::chrono::milliseconds(Item.age_ms()));
   }
 }
 
 void FleetKeeper::intentChanged(const Intent &Wanted, bool DomainClosed) {
   FleetIntent Fleet;
+  std::map<ServiceName, EndpointBounds> Bounds;
   Fleet.DomainOut = DomainClosed;
   for (const ServiceSpec &Service : Wanted.Services) {
     bool IsModel = Service.Kind == ServiceKind::Model;
@@ -95,9 +105,14 @@
         .HostsPerGroup =
             IsModel ? static_cast<std::uint32_t>(Service.HostsPerGroup) : 0,
         .Version = Service.Version,
-        .WarmUpBudget = static_cast<std::uint32_t>(Service.WarmUp.Budget)};
+        .WarmUpBudget = static_cast<std::uint32_t>(Service.WarmUp.Budget),
+        .WarmUpLength = Service.WarmUp.Length};
+    Bounds[Service.Name] = EndpointBounds{
+        .SlotLimit = static_cast<std::uint32_t>(Service.SlotLimit),
+        .IgnoresFencing = IsModel && Service.Fencing == FencingRule::Ignored};
   }
   std::lock_guard Guard(this->Lock);
+  this->EndpointBoundsOf = std::move(Bounds);
   this->Directory.intentChanged(Fleet);
   this->Planner.intentChanged(Fleet);
 }
--- a/Libraries/LibServe/FleetKeeper.h
+++ b/Libraries/LibServe/FleetKeeper.h
@@ -54,6 +54,13 @@
     TimePoint ReceivedAt;
   };
 
+  /// What the intent allows of endpoints of one service.
+  struct EndpointBounds {
+    std::uint32_t SlotLimit = 1;
+    bool IgnoresFencing = false;
+  };
+
+  bool take(TimePoint Now, Announcement Said, Duration Age);
   void relayed(const message::AnnouncementRelay &Message);
   void rosterReceived(const message::RosterUpdate &Message);
   void digestReceived(const HostName &From,
@@ -81,6 +88,7 @@
   mutable std::mutex Lock;
   EndpointDirectory Directory;
   GroupPlanner Planner;
+  std::map<ServiceName, EndpointBounds> EndpointBoundsOf;
   std::vector<PendingRelay> Relays;
   /// Epoch of the grant that this process holds; zero without one.
   std::uint64_t GrantEpoch = 0;
--- a/Libraries/LibServe/RouterTable.cpp
+++ b/Libraries/LibServe/RouterTable.cpp
@@ -38,15 +38,26 @@
   return Options;
 }
 
+static std::ptrdiff_t entryHostCount(const Settings &Own) {
+  return 1 + std::ranges::count_if(
+                 Own.Peers, [](const Peer &Each) { return Each.Does.Entry; });
+}
+
 void RouterTable::intentChanged(const Intent &Wanted) {
   std::map<WorkspaceName, double> Weights;
   std::map<WorkspaceName, std::uint32_t> QueueLimits;
+  std::map<WorkspaceName, double> Rates;
   for (const WorkspaceSpec &Each : Wanted.Workspaces) {
     Weights[Each.Name] = static_cast<double>(Each.Weight);
+    // Each entry host takes its part of the workspace's rate.
+    if (Each.RequestsPerSecond)
+      Rates[Each.Name] = static_cast<double>(*Each.RequestsPerSecond) /
+                         static_cast<double>(entryHostCount(this->Own));
     if (Each.QueueLimit > 0)
       QueueLimits[Each.Name] = static_cast<std::uint32_t>(Each.QueueLimit);
   }
   std::lock_guard Guard(this->Lock);
+  this->Rates.ratesChanged(monotonicNow(), Rates);
   for (const ServiceSpec &Service : Wanted.Services) {
     std::unique_ptr<ServiceRouter> &Entry = this->Routers[Service.Name];
     if (!Entry)
@@ -58,6 +69,11 @@
   }
 }
 
+std::optional<Duration> RouterTable::overRate(const WorkspaceName &Workspace) {
+  std::lock_guard Guard(this->Lock);
+  return this->Rates.refuse(monotonicNow(), Workspace);
+}
+
 ServiceRouter *RouterTable::find(const ServiceName &Service) const {
   std::lock_guard Guard(this->Lock);
   auto Found = this->Routers.find(Service);
--- a/Libraries/LibServe/RouterTable.h
+++ b/Libraries/LibServe/RouterTable.h
@@ -10,6 +10,7 @@
 #define LIBSERVE_ROUTERTABLE_H
 
 #include <LibIntent/Intent.h>
+#include <LibRouting/RateGate.h>
 #include <LibServe/ServiceRouter.h>
 #include <LibSettings/Settings.h>
 
@@ -26,6 +27,8 @@
   [[nodiscard]] ServiceRouter *find(const ServiceName &Service) const;
   [[nodiscard]] std::vector<std::pair<ServiceName, ServiceRouter *>>
   all() const;
+  /// Nothing if the workspace may make a request now; else when it may.
+  std::optional<Duration> overRate(const WorkspaceName &Workspace);
   void drain();
 
 private:
@@ -33,6 +36,7 @@
   const Settings &Own;
   mutable std::mutex Lock;
   bool Draining = false;
+  RateGate Rates;
   /// Never shrinks, so that the pointers handed out stay valid.
   std::map<ServiceName, std::unique_ptr<ServiceRouter>> Routers;
 };
--- a/Libraries/LibServe/ServiceRouter.h
+++ b/Libraries/LibServe/ServiceRouter.h
@@ -19,9 +19,8 @@
 namespace carobhinge {
 
 /// Where the effects for one request arrive, in order.
-using RoutingInbox =
-    boost::asio::experimental::concurrent_channel<void(
-        boost::system::error_code, RoutingEffect)>;
+using RoutingInbox = boost::asio::experimental::concurrent_channel<void(
+    boost::system::error_code, RoutingEffect)>;
 
 /// Thread-safe.
 class ServiceRouter {
--- a/Tests/LibLedger/TestCallAttempt.cpp
+++ b/Tests/LibLedger/TestCallAttempt.cpp
@@ -296,7 +296,8 @@
       RC_ASSERT(this->Keys[Who.Key].Executions == 0);
     this->tell(Who, CloseAnswered{*Reply});
   }
-  void carryOut(Call &Who, const DispatchCall &Asked, Choice &Pick, bool Benign) {
+  void carryOut(Call &Who, const DispatchCall &Asked, Choice &Pick,
+                bool Benign) {
     if (!Benign && Pick.below(4) == 0) {
       this->tell(Who, ConnectFailed{Asked.Number});
       return;
