LibServe: Plan twice a second, and stop serving a second after turning unready

Change: intervals of 500 and 250 ms; a second between unready and draining; parameters by reference, one unused member gone; the demonstration prints processor time and memory of each host.

--- a/Carobhinge/ServeCommand.cpp
+++ b/Carobhinge/ServeCommand.cpp
@@ -45,7 +45,7 @@
     if (Error)
       return;
     asio::co_spawn(Context, Process.stop(),
-                   [&](std::exception_ptr, bool Finished) {
+                   [&](const std::exception_ptr &, bool Finished) {
                      Exit = Finished ? ExitSuccess : ExitCutOff;
                      Context.stop();
                    });
--- a/Libraries/LibServe/ControlClient.cpp
+++ b/Libraries/LibServe/ControlClient.cpp
@@ -77,7 +77,7 @@
   return this->Local->open(std::move(Call));
 }
 asio::awaitable<message::HistoryResult>
-ControlClient::askLocal(message::HistoryCall) {
+ControlClient::askLocal(const message::HistoryCall &) {
   return this->Local->history();
 }
 
--- a/Libraries/LibServe/ControlClient.h
+++ b/Libraries/LibServe/ControlClient.h
@@ -53,7 +53,7 @@
   askLocal(message::ProposeCall Call);
   boost::asio::awaitable<message::OpenResult> askLocal(message::OpenCall Call);
   boost::asio::awaitable<message::HistoryResult>
-  askLocal(message::HistoryCall Call);
+  askLocal(const message::HistoryCall &Call);
 
   HostName Self;
   std::uint32_t Shards;
--- a/Libraries/LibServe/ControlHost.cpp
+++ b/Libraries/LibServe/ControlHost.cpp
@@ -63,7 +63,7 @@
 
 ControlHost::ControlHost(const Settings &Own, Peers &Links,
                          ControlHostCallbacks Callbacks)
-    : Links(Links), Callbacks(std::move(Callbacks)),
+    : Callbacks(std::move(Callbacks)),
       Folder({.Files = &this->Files,
               .Folder = Own.DataFolder,
               .Cluster = Own.Cluster,
--- a/Libraries/LibServe/ControlHost.h
+++ b/Libraries/LibServe/ControlHost.h
@@ -75,7 +75,6 @@
   [[nodiscard]] LogDriver *log(std::uint32_t Number) const;
   void watchPlanners();
 
-  Peers &Links;
   ControlHostCallbacks Callbacks;
   PosixDisk Files;
   DataFolder Folder;
--- a/Libraries/LibServe/FleetKeeper.cpp
+++ b/Libraries/LibServe/FleetKeeper.cpp
@@ -20,6 +20,8 @@
 namespace carobhinge {
 
 static constexpr auto OncePerSecond = std::chrono::seconds(1);
+/// A plan looks at every endpoint of the failure domain.
+static constexpr auto PlanInterval = std::chrono::milliseconds(500);
 static constexpr auto OrderHeadTimeout = std::chrono::seconds(2);
 static constexpr auto PresenceTimeout = std::chrono::milliseconds(900);
 static constexpr auto RecordBound = std::chrono::seconds(2);
@@ -226,7 +228,10 @@
       this->Directory.entryHostsHeard(Now, this->heardEntryHosts());
       this->Directory.tick(Now);
     }
-    Effects = this->Planner.plan(Now);
+    if (Now >= this->NextPlan) {
+      this->NextPlan = Now + PlanInterval;
+      Effects = this->Planner.plan(Now);
+    }
   }
   this->carryOut(std::move(Effects));
   if (!NewSecond)
--- a/Libraries/LibServe/FleetKeeper.h
+++ b/Libraries/LibServe/FleetKeeper.h
@@ -96,6 +96,7 @@
   std::uint64_t NewestEpoch = 0;
   TimePoint NextRelay;
   TimePoint NextSecond;
+  TimePoint NextPlan;
   std::size_t NextDigestPeer = 0;
 };
 
--- a/Libraries/LibServe/IntentKeeper.cpp
+++ b/Libraries/LibServe/IntentKeeper.cpp
@@ -17,7 +17,7 @@
       InForce({.Domain = Own.FailureDomain, .CutOffAfter = Own.Times.CutOff}),
       Spread(disseminationOptions(Own), this->InForce, monotonicNow()) {}
 
-void IntentKeeper::send(std::vector<IntentSend> Messages) {
+void IntentKeeper::send(std::span<const IntentSend> Messages) {
   for (const IntentSend &Each : Messages)
     this->Links.post(Each.To, "intent", Each.Message.SerializeAsString());
 }
@@ -30,7 +30,7 @@
   }
   logEvent(Severity::Info, "intent-accepted",
            {{"version", static_cast<std::int64_t>(Version)}});
-  this->send(std::move(Messages));
+  this->send(Messages);
 }
 
 void IntentKeeper::confirmed(TimePoint ReadBegan) {
@@ -45,7 +45,7 @@
     std::lock_guard Guard(this->Lock);
     Messages = this->Spread.handle(monotonicNow(), From, Message);
   }
-  this->send(std::move(Messages));
+  this->send(Messages);
 }
 
 void IntentKeeper::tick() {
@@ -54,7 +54,7 @@
     std::lock_guard Guard(this->Lock);
     Messages = this->Spread.tick(monotonicNow());
   }
-  this->send(std::move(Messages));
+  this->send(Messages);
 }
 
 std::shared_ptr<const Intent> IntentKeeper::intent() const {
@@ -96,7 +96,7 @@
     Taken = this->InForce.ready();
     Messages = this->Spread.order(Held, Operator, StampMs);
   }
-  this->send(std::move(Messages));
+  this->send(Messages);
   return Taken;
 }
 
--- a/Libraries/LibServe/IntentKeeper.h
+++ b/Libraries/LibServe/IntentKeeper.h
@@ -13,6 +13,7 @@
 #include <LibIntent/IntentInForce.h>
 #include <LibServe/Peers.h>
 #include <mutex>
+#include <span>
 
 namespace carobhinge {
 
@@ -39,7 +40,7 @@
   bool hold(bool Held, std::string_view Operator, std::int64_t StampMs);
 
 private:
-  void send(std::vector<IntentSend> Messages);
+  void send(std::span<const IntentSend> Messages);
 
   Peers &Links;
   mutable std::mutex Lock;
--- a/Libraries/LibServe/Neighbours.cpp
+++ b/Libraries/LibServe/Neighbours.cpp
@@ -50,6 +50,7 @@
     Sum.ReceivedAt = std::max(Sum.ReceivedAt, Each.At);
   }
   std::vector<DomainSummary> Result;
+  Result.reserve(Sums.size());
   for (auto &[Domain, Sum] : Sums)
     Result.push_back(std::move(Sum));
   return Result;
--- a/Libraries/LibServe/ServerProcess.cpp
+++ b/Libraries/LibServe/ServerProcess.cpp
@@ -23,7 +23,9 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 static constexpr auto TickInterval = std::chrono::milliseconds(10);
-static constexpr auto TargetInterval = std::chrono::milliseconds(50);
+/// Targets are made anew from the directory this often; the work grows with
+/// the endpoints of the failure domain.
+static constexpr auto TargetInterval = std::chrono::milliseconds(250);
 static constexpr auto SummaryInterval = std::chrono::milliseconds(250);
 static constexpr auto ControlInterval = std::chrono::milliseconds(500);
 /// Records are kept for days; forgetting them may lag behind by this much.
@@ -34,6 +36,7 @@
 static constexpr auto HandOverBound = std::chrono::seconds(2);
 /// Between the moment a host turns unready and the moment it refuses work, so
 /// that the balancer in front has time to notice.
+static constexpr auto UnreadyGrace = std::chrono::seconds(1);
 static constexpr auto StopPollInterval = std::chrono::milliseconds(20);
 
 static Incarnation lifeFromWallClock() {
@@ -333,6 +336,7 @@
   };
   logEvent(Severity::Info, "stopping", {});
   this->Stopping = true;
+  co_await Sleep(UnreadyGrace);
   this->Routers.drain();
   TimePoint Deadline = monotonicNow() + this->Own.Times.Drain;
   while (!this->idle() && monotonicNow() < Deadline)
--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -11,7 +11,10 @@
 #include <atomic>
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
+#include <iterator>
 #include <spawn.h>
+#include <sstream>
 #include <stdexcept>
 #include <sys/wait.h>
 #include <thread>
@@ -90,6 +93,25 @@
   return true;
 }
 
+ChildProcess::Use ChildProcess::use() const {
+  std::string Path = "/proc/" + std::to_string(this->Id) + "/stat";
+  std::ifstream File(Path);
+  std::string Text{std::istreambuf_iterator<char>(File), {}};
+  std::size_t NameEnd = Text.rfind(')');
+  if (this->Ended || NameEnd == std::string::npos)
+    return {};
+  // Fields as proc(5) counts them: 3 follows the name; 14 and 15 are ticks in
+  // user and system mode, 24 the resident pages.
+  std::istringstream Fields(Text.substr(NameEnd + 1));
+  std::vector<std::string> Values{std::istream_iterator<std::string>(Fields),
+                                  {}};
+  double Ticks = std::stod(Values.at(14 - 3)) + std::stod(Values.at(15 - 3));
+  double Pages = std::stod(Values.at(24 - 3));
+  return {.ProcessorSeconds = Ticks / static_cast<double>(sysconf(_SC_CLK_TCK)),
+          .ResidentMegabytes =
+              Pages * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1 << 20)};
+}
+
 bool ChildProcess::running() { return !this->reap(); }
 
 std::optional<int> ChildProcess::wait(std::chrono::milliseconds AtMost) {
--- a/Tests/Processes/ChildProcess.h
+++ b/Tests/Processes/ChildProcess.h
@@ -35,6 +35,13 @@
   std::optional<int> wait(std::chrono::milliseconds AtMost);
   [[nodiscard]] bool running();
 
+  /// What a running process has used so far; zeros if it does not run.
+  struct Use {
+    double ProcessorSeconds = 0;
+    double ResidentMegabytes = 0;
+  };
+  [[nodiscard]] Use use() const;
+
 private:
   bool reap();
 
--- a/Tests/Processes/Demonstration.cpp
+++ b/Tests/Processes/Demonstration.cpp
@@ -13,6 +13,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <map>
 #include <thread>
 
 using namespace carobhinge;
@@ -21,6 +22,7 @@
 static constexpr unsigned CallsPerHostUnderFaults = 60;
 static constexpr auto Pause = std::chrono::milliseconds(2);
 static constexpr auto PauseUnderFaults = std::chrono::milliseconds(20);
+static constexpr std::chrono::duration<double> IdleTime(3);
 static constexpr auto StopLimit = std::chrono::seconds(40);
 
 static void print(const char *What, const LoadCounts &Counts) {
@@ -53,6 +55,28 @@
     throw std::runtime_error("the planned stop did not end well");
 }
 
+using UseOfHosts = std::map<std::string, ChildProcess::Use>;
+
+static UseOfHosts measure(Deployment &Running) {
+  UseOfHosts Now;
+  for (const HostAddresses &Host : Running.hosts())
+    Now[Host.Host] = Running.process(Host.Host).use();
+  return Now;
+}
+
+/// What the entry hosts used while idle and for each call.
+static void printUse(const UseOfHosts &Ready, const UseOfHosts &Idle,
+                     const UseOfHosts &Loaded) {
+  for (const auto &[Host, Before] : Ready) {
+    double Rest = Idle.at(Host).ProcessorSeconds - Before.ProcessorSeconds;
+    double Load =
+        Loaded.at(Host).ProcessorSeconds - Idle.at(Host).ProcessorSeconds;
+    std::printf("  %s: idle %.1f %% of a core, %.2f ms a call, %.0f MB\n",
+                Host.c_str(), 100 * Rest / IdleTime.count(),
+                1000 * Load / CallsPerHost, Loaded.at(Host).ResidentMegabytes);
+  }
+}
+
 static LoadCounts demonstrate(const DeploymentPlan &Plan, std::uint64_t Seed) {
   std::printf("deployment %s, seed %llu\n", Plan.Cluster.c_str(),
               static_cast<unsigned long long>(Seed));
@@ -61,7 +85,11 @@
   CheckedCaller Caller(Running, Seed);
   std::printf("  every host is ready; calls go out\n");
   std::fflush(stdout);
+  UseOfHosts Ready = measure(Running);
+  std::this_thread::sleep_for(IdleTime);
+  UseOfHosts Idle = measure(Running);
   runMixedLoad(Caller, Running.hosts(), CallsPerHost, 0, Pause);
+  printUse(Ready, Idle, measure(Running));
   loadUnderFaults(Running, Caller);
   LoadCounts Counts = Caller.settle(Running.executions());
   print(Plan.Cluster.c_str(), Counts);
