--- a/Libraries/LibServe/FleetKeeper.cpp
+++ b/Libraries/LibServe/FleetKeeper.cpp
@@ -50,8 +50,9 @@
   return Options;
 }
 
-FleetKeeper::FleetKeeper(asio::any_io_executor Executor, const Settings &Own,
-                         Incarnation Life, Peers &Links, ControlClient &Control)
+FleetKeeper::FleetKeeper(const asio::any_io_executor &Executor,
+                         const Settings &Own, Incarnation Life, Peers &Links,
+                         ControlClient &Control)
     : Executor(Executor), Self(Own.Host), FailureDomain(Own.FailureDomain),
       Life(Life), RelayInterval(Own.Times.AnnounceRelay), Links(Links),
       Control(Control), Client(Executor),
--- a/Libraries/LibServe/FleetKeeper.h
+++ b/Libraries/LibServe/FleetKeeper.h
@@ -25,7 +25,7 @@
 /// Thread-safe.
 class FleetKeeper {
 public:
-  FleetKeeper(boost::asio::any_io_executor Executor, const Settings &Own,
+  FleetKeeper(const boost::asio::any_io_executor &Executor, const Settings &Own,
               Incarnation Life, Peers &Links, ControlClient &Control);
 
   /// An announcement made to this host. Faults are added to \p Out.
--- a/Libraries/LibServe/NonIdempotentCall.cpp
+++ b/Libraries/LibServe/NonIdempotentCall.cpp
@@ -59,7 +59,7 @@
   return Key;
 }
 
-NonIdempotentCall::NonIdempotentCall(asio::any_io_executor Strand,
+NonIdempotentCall::NonIdempotentCall(const asio::any_io_executor &Strand,
                                      ServeParts &Parts, CallContext Given,
                                      HttpRequest Request)
     : Strand(Strand), Parts(Parts), Call(std::move(Given)),
@@ -88,7 +88,7 @@
 void NonIdempotentCall::spawn(asio::awaitable<void> Work) {
   ++this->Parts.Background;
   asio::co_spawn(this->Strand, std::move(Work),
-                 [Self = this->shared_from_this()](std::exception_ptr) {
+                 [Self = this->shared_from_this()](const std::exception_ptr &) {
                    --Self->Parts.Background;
                  });
 }
@@ -101,7 +101,7 @@
     std::lock_guard Guard(this->Lock);
     Effects = this->Decision.start();
   }
-  this->carryOut(std::move(Effects));
+  this->carryOut(Effects);
 }
 
 void NonIdempotentCall::handle(const CallEvent &Event) {
@@ -110,10 +110,10 @@
     std::lock_guard Guard(this->Lock);
     Effects = this->Decision.handle(Event);
   }
-  this->carryOut(std::move(Effects));
+  this->carryOut(Effects);
 }
 
-void NonIdempotentCall::carryOut(std::vector<CallEffect> Effects) {
+void NonIdempotentCall::carryOut(std::span<const CallEffect> Effects) {
   for (const CallEffect &Effect : Effects)
     std::visit([this](const auto &Each) { this->on(Each); }, Effect);
   bool Over = false;
--- a/Libraries/LibServe/NonIdempotentCall.h
+++ b/Libraries/LibServe/NonIdempotentCall.h
@@ -14,6 +14,7 @@
 #include <LibServe/CallContext.h>
 #include <LibServe/ServeParts.h>
 #include <boost/asio/steady_timer.hpp>
+#include <span>
 
 namespace carobhinge {
 
@@ -29,8 +30,8 @@
     : public std::enable_shared_from_this<NonIdempotentCall> {
 public:
   /// \p Strand runs all of the call's own code.
-  NonIdempotentCall(boost::asio::any_io_executor Strand, ServeParts &Parts,
-                    CallContext Call, HttpRequest Request);
+  NonIdempotentCall(const boost::asio::any_io_executor &Strand,
+                    ServeParts &Parts, CallContext Call, HttpRequest Request);
 
   /// Starts the call and waits for its answer. The call itself may go on.
   boost::asio::awaitable<NonIdempotentEnd> answer();
@@ -45,7 +46,7 @@
   void start();
   /// Hands an event to the decision and carries out what it asks for.
   void handle(const CallEvent &Event);
-  void carryOut(std::vector<CallEffect> Effects);
+  void carryOut(std::span<const CallEffect> Effects);
 
   // One for each effect.
   void on(const AskOpen &);
--- a/Libraries/LibServe/Peers.cpp
+++ b/Libraries/LibServe/Peers.cpp
@@ -24,7 +24,7 @@
           .MostReconnectPause = Own.Times.ReconnectMost};
 }
 
-Peers::Peers(boost::asio::any_io_executor Executor, const Settings &Own)
+Peers::Peers(const boost::asio::any_io_executor &Executor, const Settings &Own)
     : Known(Own.Peers) {
   WireOptions Options = wireOptions(Own);
   if (Own.Does.Control)
--- a/Libraries/LibServe/Peers.h
+++ b/Libraries/LibServe/Peers.h
@@ -18,7 +18,7 @@
 
 class Peers {
 public:
-  Peers(boost::asio::any_io_executor Executor, const Settings &Own);
+  Peers(const boost::asio::any_io_executor &Executor, const Settings &Own);
 
   /// Null if there is no such peer.
   [[nodiscard]] WireLink *link(const HostName &Host) const;
--- a/Libraries/LibStandIn/Announcer.cpp
+++ b/Libraries/LibStandIn/Announcer.cpp
@@ -16,7 +16,7 @@
 
 static constexpr std::size_t MaxAnswerBytes = 64 * 1024;
 
-Announcer::Announcer(asio::any_io_executor Executor,
+Announcer::Announcer(const asio::any_io_executor &Executor,
                      std::vector<std::string> EntryHosts, Duration Interval,
                      std::function<Announcement()> Current)
     : Client(Executor), EntryHosts(std::move(EntryHosts)), Interval(Interval),
--- a/Libraries/LibStandIn/Announcer.h
+++ b/Libraries/LibStandIn/Announcer.h
@@ -20,7 +20,7 @@
 class Announcer {
 public:
   /// \p Current gives the announcement to send now. Called on \p Executor.
-  Announcer(boost::asio::any_io_executor Executor,
+  Announcer(const boost::asio::any_io_executor &Executor,
             std::vector<std::string> EntryHosts, Duration Interval,
             std::function<Announcement()> Current);
 
--- a/Libraries/LibStandIn/EngineStandIn.cpp
+++ b/Libraries/LibStandIn/EngineStandIn.cpp
@@ -43,7 +43,8 @@
 
 class EngineStandIn::Implementation {
 public:
-  Implementation(asio::any_io_executor Executor, EngineStandInOptions Options)
+  Implementation(const asio::any_io_executor &Executor,
+                 EngineStandInOptions Options)
       : Executor(Executor), Options(std::move(Options)),
         Life((static_cast<Incarnation>(
                   std::chrono::system_clock::now().time_since_epoch() /
--- a/Libraries/LibStandIn/LinkStandIn.cpp
+++ b/Libraries/LibStandIn/LinkStandIn.cpp
@@ -45,7 +45,8 @@
 
 class LinkStandIn::Implementation {
 public:
-  Implementation(asio::any_io_executor Executor, LinkStandInOptions Options)
+  Implementation(const asio::any_io_executor &Executor,
+                 const LinkStandInOptions &Options)
       : Executor(Executor), To(parseAddress(Options.To)),
         Acceptor(Executor, parseAddress(Options.Listen), true),
         Control(Executor, {.Listen = Options.Control},
--- a/Libraries/LibStandIn/ServiceStandIn.cpp
+++ b/Libraries/LibStandIn/ServiceStandIn.cpp
@@ -22,7 +22,8 @@
 
 class ServiceStandIn::Implementation {
 public:
-  Implementation(asio::any_io_executor Executor, ServiceStandInOptions Options)
+  Implementation(const asio::any_io_executor &Executor,
+                 ServiceStandInOptions Options)
       : Executor(Executor), Options(std::move(Options)),
         Life((static_cast<Incarnation>(
                   std::chrono::system_clock::now().time_since_epoch() /
--- a/Libraries/LibTelemetry/Metrics.cpp
+++ b/Libraries/LibTelemetry/Metrics.cpp
@@ -74,8 +74,12 @@
 }
 
 static std::string labels(const TrafficClass &For) {
-  return "workspace=\"" + escaped(For.Workspace) + "\",class=\"" +
-         escaped(For.Class) + "\"";
+  std::string Text = "workspace=\"";
+  Text += escaped(For.Workspace);
+  Text += "\",class=\"";
+  Text += escaped(For.Class);
+  Text += "\"";
+  return Text;
 }
 
 static std::string number(double Value) {
@@ -86,22 +90,36 @@
 
 void Metrics::renderSeries(std::string &Text, const TrafficClass &For,
                            RequestTiming What, const Series &From) {
-  std::string Name = "carobhinge_request_" +
-                     std::string(TimingNames[static_cast<int>(What)]) +
-                     "_seconds";
+  std::string Name = "carobhinge_request_";
+  Name += TimingNames[static_cast<int>(What)];
+  Name += "_seconds";
   std::string Labels = labels(For);
+  auto Line = [&Text, &Name](std::string_view Suffix, std::string_view Fields,
+                             std::string_view Value) {
+    Text += Name;
+    Text += Suffix;
+    Text += "{";
+    Text += Fields;
+    Text += "} ";
+    Text += Value;
+    Text += "\n";
+  };
+  auto Bucket = [&Labels, &Line](std::string_view Bound, std::uint64_t Count) {
+    std::string Fields = Labels;
+    Fields += ",le=\"";
+    Fields += Bound;
+    Fields += "\"";
+    Line("_bucket", Fields, std::to_string(Count));
+  };
   auto Cumulated = static_cast<std::uint64_t>(From.Histogram.at(-1));
   for (unsigned Bin = 0; Bin < TimingBins; ++Bin) {
     Cumulated += static_cast<std::uint64_t>(From.Histogram.at(Bin));
-    double Bound = From.Histogram.axis().bin(Bin).upper();
-    Text += Name + "_bucket{" + Labels + ",le=\"" + number(Bound) + "\"} " +
-            std::to_string(Cumulated) + "\n";
+    Bucket(number(From.Histogram.axis().bin(Bin).upper()), Cumulated);
   }
   Cumulated += static_cast<std::uint64_t>(From.Histogram.at(TimingBins));
-  Text += Name + "_bucket{" + Labels + ",le=\"+Inf\"} " +
-          std::to_string(Cumulated) + "\n";
-  Text += Name + "_sum{" + Labels + "} " + number(From.SumSeconds) + "\n";
-  Text += Name + "_count{" + Labels + "} " + std::to_string(Cumulated) + "\n";
+  Bucket("+Inf", Cumulated);
+  Line("_sum", Labels, number(From.SumSeconds));
+  Line("_count", Labels, std::to_string(Cumulated));
 }
 
 std::string Metrics::render() const {
@@ -112,9 +130,11 @@
       renderSeries(Text, Key.first, Key.second, Kept);
     for (const auto &[Key, Count] : Each.Outcomes) {
       const auto &[For, Outcome, Reason] = Key;
-      Text += "carobhinge_requests_total{" + labels(For) + ",outcome=\"" +
-              escaped(Outcome) + "\",reason=\"" + escaped(Reason) + "\"} " +
-              std::to_string(Count) + "\n";
+      Text += "carobhinge_requests_total{";
+      Text += labels(For);
+      Text += ",outcome=\"" + escaped(Outcome);
+      Text += "\",reason=\"" + escaped(Reason);
+      Text += "\"} " + std::to_string(Count) + "\n";
     }
   }
   std::lock_guard Guard(this->ProcessLock);
--- a/Libraries/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/Metrics.h
@@ -18,6 +18,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace carobhinge {
@@ -39,7 +40,10 @@
   WorkspaceName Workspace;
   std::string Class;
 
-  auto operator<=>(const TrafficClass &) const = default;
+  bool operator<(const TrafficClass &Other) const {
+    return std::tie(this->Workspace, this->Class) <
+           std::tie(Other.Workspace, Other.Class);
+  }
 };
 
 /// Thread-safe: state is kept in shards, each under its own lock.
--- a/Libraries/LibWire/WireLink.cpp
+++ b/Libraries/LibWire/WireLink.cpp
@@ -129,11 +129,10 @@
 class WireLink::Implementation
     : public std::enable_shared_from_this<WireLink::Implementation> {
 public:
-  Implementation(asio::any_io_executor Executor, std::string Address,
+  Implementation(const asio::any_io_executor &Executor, std::string Address,
                  WireOptions Options, std::uint64_t Seed)
-      : Strand(asio::make_strand(std::move(Executor))),
-        Address(std::move(Address)), Options(std::move(Options)), Random(Seed),
-        Pause(this->Strand) {}
+      : Strand(asio::make_strand(Executor)), Address(std::move(Address)),
+        Options(std::move(Options)), Random(Seed), Pause(this->Strand) {}
 
   asio::awaitable<void> keepConnected();
   void stop();
@@ -242,7 +241,7 @@
   Started->attach(this->Session, Stream);
 }
 
-WireLink::WireLink(asio::any_io_executor Executor, std::string Address,
+WireLink::WireLink(const asio::any_io_executor &Executor, std::string Address,
                    WireOptions Options, std::uint64_t Seed)
     : Impl(std::make_shared<Implementation>(
           std::move(Executor), std::move(Address), std::move(Options), Seed)) {
--- a/Libraries/LibWire/WireLink.h
+++ b/Libraries/LibWire/WireLink.h
@@ -50,7 +50,7 @@
 class WireLink {
 public:
   /// \p Address is the peer's "IP:PORT". Connecting starts at once.
-  WireLink(boost::asio::any_io_executor Executor, std::string Address,
+  WireLink(const boost::asio::any_io_executor &Executor, std::string Address,
            WireOptions Options, std::uint64_t Seed);
   ~WireLink();
   WireLink(const WireLink &) = delete;
--- a/Tests/LibTelemetry/TestTelemetry.cpp
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -40,6 +40,7 @@
   Metrics Kept;
   {
     std::vector<std::jthread> Threads;
+    Threads.reserve(8);
     for (int I = 0; I < 8; ++I)
       Threads.emplace_back([&Kept] {
         for (int J = 0; J < 1000; ++J)
--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -55,6 +55,7 @@
                            const std::string &Log) {
   Arguments.insert(Arguments.begin(), Binary);
   std::vector<char *> Pointers;
+  Pointers.reserve(Arguments.size() + 1);
   for (std::string &Each : Arguments)
     Pointers.push_back(Each.data());
   Pointers.push_back(nullptr);
