--- a/Libraries/LibStandIn/EngineStandIn.cpp
+++ b/Libraries/LibStandIn/EngineStandIn.cpp
@@ -320,10 +320,9 @@
   co_await Exchange.respond(std::move(Response));
 }
 
-EngineStandIn::EngineStandIn(asio::any_io_executor Executor,
+EngineStandIn::EngineStandIn(const asio::any_io_executor &Executor,
                              EngineStandInOptions Options)
-    : Impl(std::make_unique<Implementation>(std::move(Executor),
-                                            std::move(Options))) {}
+    : Impl(std::make_unique<Implementation>(Executor, std::move(Options))) {}
 EngineStandIn::~EngineStandIn() = default;
 
 void EngineStandIn::start() {
--- a/Libraries/LibStandIn/EngineStandIn.h
+++ b/Libraries/LibStandIn/EngineStandIn.h
@@ -47,7 +47,7 @@
 class EngineStandIn {
 public:
   /// All work happens on \p Executor, which must be served by one thread.
-  EngineStandIn(boost::asio::any_io_executor Executor,
+  EngineStandIn(const boost::asio::any_io_executor &Executor,
                 EngineStandInOptions Options);
   ~EngineStandIn();
   void start();
--- a/Libraries/LibStandIn/LinkStandIn.cpp
+++ b/Libraries/LibStandIn/LinkStandIn.cpp
@@ -159,10 +159,9 @@
   co_await Exchange.respond(std::move(Response));
 }
 
-LinkStandIn::LinkStandIn(asio::any_io_executor Executor,
-                         LinkStandInOptions Options)
-    : Impl(std::make_unique<Implementation>(std::move(Executor),
-                                            std::move(Options))) {}
+LinkStandIn::LinkStandIn(const asio::any_io_executor &Executor,
+                         const LinkStandInOptions &Options)
+    : Impl(std::make_unique<Implementation>(Executor, Options)) {}
 LinkStandIn::~LinkStandIn() = default;
 
 void LinkStandIn::start() {
--- a/Libraries/LibStandIn/LinkStandIn.h
+++ b/Libraries/LibStandIn/LinkStandIn.h
@@ -30,8 +30,8 @@
 class LinkStandIn {
 public:
   /// All work happens on \p Executor, which must be served by one thread.
-  LinkStandIn(boost::asio::any_io_executor Executor,
-              LinkStandInOptions Options);
+  LinkStandIn(const boost::asio::any_io_executor &Executor,
+              const LinkStandInOptions &Options);
   ~LinkStandIn();
   void start();
 
--- a/Libraries/LibStandIn/ServiceStandIn.cpp
+++ b/Libraries/LibStandIn/ServiceStandIn.cpp
@@ -104,10 +104,9 @@
   co_await Exchange.respond(std::move(Response));
 }
 
-ServiceStandIn::ServiceStandIn(asio::any_io_executor Executor,
+ServiceStandIn::ServiceStandIn(const asio::any_io_executor &Executor,
                                ServiceStandInOptions Options)
-    : Impl(std::make_unique<Implementation>(std::move(Executor),
-                                            std::move(Options))) {}
+    : Impl(std::make_unique<Implementation>(Executor, std::move(Options))) {}
 ServiceStandIn::~ServiceStandIn() = default;
 
 void ServiceStandIn::start() {
--- a/Libraries/LibStandIn/ServiceStandIn.h
+++ b/Libraries/LibStandIn/ServiceStandIn.h
@@ -33,7 +33,7 @@
 class ServiceStandIn {
 public:
   /// All work happens on \p Executor, which must be served by one thread.
-  ServiceStandIn(boost::asio::any_io_executor Executor,
+  ServiceStandIn(const boost::asio::any_io_executor &Executor,
                  ServiceStandInOptions Options);
   ~ServiceStandIn();
   void start();
--- a/Libraries/LibWire/WireLink.cpp
+++ b/Libraries/LibWire/WireLink.cpp
@@ -243,8 +243,8 @@
 
 WireLink::WireLink(const asio::any_io_executor &Executor, std::string Address,
                    WireOptions Options, std::uint64_t Seed)
-    : Impl(std::make_shared<Implementation>(
-          std::move(Executor), std::move(Address), std::move(Options), Seed)) {
+    : Impl(std::make_shared<Implementation>(Executor, std::move(Address),
+                                            std::move(Options), Seed)) {
   asio::co_spawn(
       this->Impl->Strand,
       [Self = this->Impl]() -> asio::awaitable<void> {
