LibHTTP, LibCore: Serve proxies on one thread, and count suspended time

Cause: an entry process must tell whose answer arrives on a kept connection, pass answers that end with their connection, drain without refusing what still arrives, and read formats to which others add members. Leases must also count the time in which a host is suspended. Ruled out: a second client and server beside the existing ones; all of this is an option or a small addition to them. Change: HttpCallOptions::Belongs and WholeOnClose, HttpClientOptions, HttpServer::drain and setLimits, UnknownMembers for JsonReader, Signal, and monotonicNow() on the clock that goes on during a suspension.

--- a/Libraries/LibCore/JsonReader.cpp
+++ b/Libraries/LibCore/JsonReader.cpp
@@ -60,8 +60,9 @@
 }
 
 JsonReader::JsonReader(const json::value &Value, std::string Pointer,
-                       Findings &Out)
-    : Object(Value.if_object()), Pointer(std::move(Pointer)), Out(Out) {
+                       Findings &Out, UnknownMembers Unknown)
+    : Object(Value.if_object()), Pointer(std::move(Pointer)), Out(Out),
+      Unknown(Unknown) {
   if (!this->Object)
     Out.add(this->Pointer, "an object", shown(Value));
 }
@@ -210,7 +211,7 @@
   for (std::size_t I = 0; I < Array->size(); ++I) {
     JsonReader Reader((*Array)[I],
                       this->pointerTo(Name) + "/" + std::to_string(I),
-                      this->Out);
+                      this->Out, this->Unknown);
     Each(Reader);
     Reader.finish();
   }
@@ -222,11 +223,12 @@
   const json::value *Value = this->find(Name);
   if (!Value)
     return;
-  JsonReader Outer(*Value, this->pointerTo(Name), this->Out);
+  JsonReader Outer(*Value, this->pointerTo(Name), this->Out, this->Unknown);
   if (!Outer.Object)
     return;
   for (const json::key_value_pair &Member : *Outer.Object) {
-    JsonReader Reader(Member.value(), Outer.pointerTo(Member.key()), this->Out);
+    JsonReader Reader(Member.value(), Outer.pointerTo(Member.key()), this->Out,
+                      this->Unknown);
     Each(Member.key(), Reader);
     Reader.finish();
   }
@@ -237,7 +239,7 @@
   const json::value *Value = this->find(Name);
   if (!Value)
     return;
-  JsonReader Reader(*Value, this->pointerTo(Name), this->Out);
+  JsonReader Reader(*Value, this->pointerTo(Name), this->Out, this->Unknown);
   Then(Reader);
   Reader.finish();
 }
@@ -250,7 +252,7 @@
 }
 
 void JsonReader::finish() {
-  if (!this->Object)
+  if (!this->Object || this->Unknown == UnknownMembers::Ignore)
     return;
   std::vector<std::string_view> Known(this->Asked.begin(), this->Asked.end());
   for (const json::key_value_pair &Member : *this->Object) {
--- a/Libraries/LibCore/JsonReader.h
+++ b/Libraries/LibCore/JsonReader.h
@@ -34,12 +34,20 @@
   std::int64_t Most = INT64_MAX;
 };
 
+/// What becomes of members that nobody asked for.
+enum class UnknownMembers {
+  Report,
+  /// For formats to which others add members.
+  Ignore,
+};
+
 /// Reads one JSON object. Members never asked for are reported by finish().
 class JsonReader {
 public:
-  /// \p Value need not be an object: that itself is a finding.
+  /// \p Value need not be an object: that itself is a finding. Readers of
+  /// members treat unknown members alike.
   JsonReader(const boost::json::value &Value, std::string Pointer,
-             Findings &Out);
+             Findings &Out, UnknownMembers Unknown = UnknownMembers::Report);
 
   /// A member that must be there and be a non-empty string.
   std::string requiredString(std::string_view Name);
@@ -95,6 +103,7 @@
   const boost::json::object *Object;
   std::string Pointer;
   Findings &Out;
+  UnknownMembers Unknown;
   std::set<std::string, std::less<>> Asked;
 };
 
--- /dev/null
+++ b/Libraries/LibCore/Signal.h
@@ -0,0 +1,57 @@
+//===- LibCore/Signal.h - Lets coroutines wait for an event ---------------===//
+///
+/// \file
+/// An event between parts of one executor thread.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBCORE_SIGNAL_H
+#define LIBCORE_SIGNAL_H
+
+#include <LibCore/Time.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <set>
+
+namespace carobhinge {
+
+/// Used on one executor thread only; must outlive its waiters.
+class Signal {
+public:
+  explicit Signal(boost::asio::any_io_executor Executor)
+      : Executor(std::move(Executor)) {}
+
+  void fire() {
+    this->Fired = true;
+    for (boost::asio::steady_timer *Each : this->Waiters)
+      Each->cancel();
+  }
+  void reset() { this->Fired = false; }
+  [[nodiscard]] bool fired() const { return this->Fired; }
+
+  /// Waits until the event or for \p Most. \returns whether it came.
+  boost::asio::awaitable<bool> wait(Duration Most) {
+    if (!this->Fired) {
+      boost::asio::steady_timer Timer(this->Executor);
+      Timer.expires_after(Most);
+      this->Waiters.insert(&Timer);
+      auto Token = boost::asio::as_tuple(boost::asio::use_awaitable);
+      co_await Timer.async_wait(Token);
+      this->Waiters.erase(&Timer);
+    }
+    co_return this->Fired;
+  }
+
+private:
+  boost::asio::any_io_executor Executor;
+  bool Fired = false;
+  /// Of the coroutines that wait now.
+  std::set<boost::asio::steady_timer *> Waiters;
+};
+
+} // namespace carobhinge
+
+#endif // LIBCORE_SIGNAL_H
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace carobhinge {
 
@@ -20,10 +21,14 @@
 /// A point on the host's own monotonic clock.
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
-/// Reads the monotonic clock. For drivers only.
+/// Reads the monotonic clock. For drivers only. The clock goes on counting
+/// while the host is suspended, so that no lease outlives its real time: the
+/// standard library's steady clock stands still then.
 inline TimePoint monotonicNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return TimePoint(std::chrono::seconds(Now.tv_sec) +
+                   std::chrono::nanoseconds(Now.tv_nsec));
 }
 
 /// Whole milliseconds in \p Length, rounded towards zero.
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -9,6 +9,7 @@
 #include <LibHTTP/Address.h>
 #include <LibHTTP/HttpClient.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -16,6 +17,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -30,8 +32,8 @@
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 /// Idle connections kept for one address.
 static constexpr std::size_t MaxIdlePerAddress = 32;
-/// An idle connection older than this is not trusted to be alive any more.
-static constexpr auto MaxIdleAge = std::chrono::seconds(2);
+/// An idle connection is given up this long before the endpoint closes it.
+static constexpr auto IdleMargin = std::chrono::milliseconds(800);
 static constexpr std::size_t ReadBufferBytes = 16 * 1024;
 static constexpr std::uint32_t AnswerHeaderBytes = 32 * 1024;
 
@@ -74,7 +76,7 @@
 
 struct IdleConnection {
   std::unique_ptr<beast::tcp_stream> Stream;
-  TimePoint Since;
+  TimePoint Until;
 };
 
 /// Passes an answer on to a sink that belongs to another executor.
@@ -113,15 +115,17 @@
 
 class HttpClient::Implementation {
 public:
-  explicit Implementation(asio::any_io_executor Executor)
-      : Executor(std::move(Executor)) {}
+  Implementation(asio::any_io_executor Executor, HttpClientOptions Options)
+      : Executor(std::move(Executor)), Options(Options) {}
 
   std::unique_ptr<beast::tcp_stream> takeIdle(const std::string &Address);
   void putIdle(const std::string &Address,
-               std::unique_ptr<beast::tcp_stream> Stream);
+               std::unique_ptr<beast::tcp_stream> Stream,
+               std::optional<Duration> Announced);
   void dropIdle(const std::string &Address);
 
   asio::any_io_executor Executor;
+  const HttpClientOptions Options;
 
 private:
   std::mutex Lock;
@@ -133,21 +137,26 @@
   std::lock_guard Guard(this->Lock);
   std::vector<IdleConnection> &Pool = this->Idle[Address];
   std::unique_ptr<beast::tcp_stream> Result;
-  if (!Pool.empty() && monotonicNow() - Pool.back().Since < MaxIdleAge) {
+  TimePoint Now = monotonicNow();
+  std::erase_if(Pool,
+                [&](const IdleConnection &Each) { return Each.Until <= Now; });
+  if (!Pool.empty()) {
     Result = std::move(Pool.back().Stream);
     Pool.pop_back();
-  } else {
-    Pool.clear();
   }
   return Result;
 }
 
 void HttpClient::Implementation::putIdle(
-    const std::string &Address, std::unique_ptr<beast::tcp_stream> Stream) {
+    const std::string &Address, std::unique_ptr<beast::tcp_stream> Stream,
+    std::optional<Duration> Announced) {
+  Duration Age = this->Options.IdleAge;
+  if (Announced)
+    Age = std::min<Duration>(Age, *Announced - IdleMargin);
   std::lock_guard Guard(this->Lock);
   std::vector<IdleConnection> &Pool = this->Idle[Address];
-  if (Pool.size() < MaxIdlePerAddress)
-    Pool.push_back({.Stream = std::move(Stream), .Since = monotonicNow()});
+  if (Age > Duration::zero() && Pool.size() < MaxIdlePerAddress)
+    Pool.push_back({.Stream = std::move(Stream), .Until = monotonicNow() + Age});
 }
 
 void HttpClient::Implementation::dropIdle(const std::string &Address) {
@@ -155,8 +164,9 @@
   this->Idle.erase(Address);
 }
 
-HttpClient::HttpClient(asio::any_io_executor Executor)
-    : Impl(std::make_unique<Implementation>(std::move(Executor))) {}
+HttpClient::HttpClient(asio::any_io_executor Executor,
+                       HttpClientOptions Options)
+    : Impl(std::make_unique<Implementation>(std::move(Executor), Options)) {}
 HttpClient::~HttpClient() = default;
 
 /// True if the other end has not closed an idle connection meanwhile.
@@ -177,7 +187,8 @@
   Message.target(Request.Target);
   for (const HttpHeader &Field : Request.Headers.fields())
     Message.insert(Field.Name, Field.Value);
-  Message.set(http::field::host, Address);
+  if (Message.count(http::field::host) == 0)
+    Message.set(http::field::host, Address);
   Message.body() = std::move(Request.Body);
   Message.prepare_payload();
   return Message;
@@ -190,46 +201,98 @@
   return Head;
 }
 
-/// Reads an answer to its end. True only if it was whole.
-static asio::awaitable<bool> readAnswer(beast::tcp_stream &Stream,
-                                        const HttpCallOptions &Options,
-                                        HttpAnswerSink &Sink, bool &KeepAlive) {
-  http::response_parser<http::buffer_body> Parser;
-  Parser.header_limit(AnswerHeaderBytes);
-  Parser.body_limit(boost::none);
+namespace {
+
+/// How the reading of an answer went.
+struct ReadAnswer {
+  bool Whole = false;
+  /// Whether the connection may be used again.
+  bool Reusable = false;
+  /// How long the endpoint keeps it, if it said so.
+  std::optional<Duration> KeptFor;
+};
+
+/// For answers to other calls.
+class DroppingSink : public HttpAnswerSink {
+public:
+  asio::awaitable<void> head(const HttpResponseHead &) override { co_return; }
+  asio::awaitable<void> chunk(std::string) override { co_return; }
+};
+
+} // namespace
+
+/// The seconds in "Keep-Alive: timeout=N", if they are there.
+static std::optional<Duration> announcedIdleTime(const HttpResponseHead &Head) {
+  std::string_view Value = Head.Headers.value("Keep-Alive");
+  std::size_t At = Value.find("timeout=");
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  Value.remove_prefix(At + 8);
+  unsigned Seconds = 0;
+  auto [End, Error] =
+      std::from_chars(Value.data(), Value.data() + Value.size(), Seconds);
+  if (Error != std::errc())
+    return std::nullopt;
+  return std::chrono::seconds(Seconds);
+}
+
+/// Reads the answer of this call to its end; answers of others before it are
+/// dropped.
+static asio::awaitable<ReadAnswer> readAnswer(beast::tcp_stream &Stream,
+                                              const HttpCallOptions &Options,
+                                              HttpAnswerSink &Sink) {
+  ReadAnswer Result;
+  DroppingSink Dropped;
   beast::flat_buffer Buffer;
-  Stream.expires_after(Options.HeadTimeout);
-  auto [HeadError, HeadBytes] =
-      co_await http::async_read_header(Stream, Buffer, Parser, UseTuple);
-  if (HeadError)
-    co_return false;
-  co_await Sink.head(headOf(Parser));
-  std::array<char, ReadBufferBytes> Bytes;
-  while (!Parser.is_done()) {
-    Parser.get().body().data = Bytes.data();
-    Parser.get().body().size = Bytes.size();
-    Parser.get().body().more = true;
-    Stream.expires_after(Options.ChunkTimeout);
-    auto [Error, Count] =
-        co_await http::async_read_some(Stream, Buffer, Parser, UseTuple);
-    if (Error && Error != http::error::need_buffer)
-      co_return false;
-    std::size_t Taken = Bytes.size() - Parser.get().body().size;
-    if (Taken > 0)
-      co_await Sink.chunk(std::string(Bytes.data(), Taken));
+  bool Clean = true;
+  for (;;) {
+    http::response_parser<http::buffer_body> Parser;
+    Parser.header_limit(AnswerHeaderBytes);
+    Parser.body_limit(boost::none);
+    Stream.expires_after(Options.HeadTimeout);
+    auto [HeadError, HeadBytes] =
+        co_await http::async_read_header(Stream, Buffer, Parser, UseTuple);
+    if (HeadError)
+      co_return Result;
+    HttpResponseHead Head = headOf(Parser);
+    bool Interim = Head.Status < 200;
+    bool Ours = !Interim && (!Options.Belongs || Options.Belongs(Head));
+    Clean = Clean && (Ours || Interim);
+    HttpAnswerSink &Receiver = Ours ? Sink : Dropped;
+    co_await Receiver.head(Head);
+    std::array<char, ReadBufferBytes> Bytes;
+    while (!Parser.is_done()) {
+      Parser.get().body().data = Bytes.data();
+      Parser.get().body().size = Bytes.size();
+      Parser.get().body().more = true;
+      Stream.expires_after(Options.ChunkTimeout);
+      auto [Error, Count] =
+          co_await http::async_read_some(Stream, Buffer, Parser, UseTuple);
+      std::size_t Taken = Bytes.size() - Parser.get().body().size;
+      if (Taken > 0)
+        co_await Receiver.chunk(std::string(Bytes.data(), Taken));
+      if (Error && Error != http::error::need_buffer)
+        co_return Result;
+    }
+    if (!Ours) {
+      if (Parser.need_eof())
+        co_return Result;
+      continue;
+    }
+    // Without a length only an orderly close shows that it is whole.
+    Result.Whole = !Parser.need_eof() || Options.WholeOnClose;
+    Result.Reusable = Result.Whole && Clean && !Parser.need_eof() &&
+                      Parser.keep_alive() && Buffer.size() == 0;
+    Result.KeptFor = announcedIdleTime(Head);
+    co_return Result;
   }
-  // An answer that ends with the connection has no sign of being whole.
-  if (Parser.need_eof())
-    co_return false;
-  KeepAlive = Parser.keep_alive() && Buffer.size() == 0;
-  co_return true;
 }
 
 /// What one call does on its connection's strand.
 static asio::awaitable<HttpCallEnd>
 exchange(beast::tcp_stream &Stream, bool Connected, const std::string &Address,
          HttpRequest Request, const HttpCallOptions &Options,
-         HttpAnswerSink &Sink, bool &KeepAlive) {
+         HttpAnswerSink &Sink, ReadAnswer &Read) {
   if (!Connected) {
     Stream.expires_after(Options.ConnectTimeout);
     auto [Error] =
@@ -247,9 +310,9 @@
       co_await http::async_write(Stream, Message, UseTuple);
   if (WriteError)
     co_return Written == 0 ? HttpCallEnd::NotWritten : HttpCallEnd::BrokenOff;
-  bool Whole = co_await readAnswer(Stream, Options, Sink, KeepAlive);
+  Read = co_await readAnswer(Stream, Options, Sink);
   Stream.expires_never();
-  co_return Whole ? HttpCallEnd::Complete : HttpCallEnd::BrokenOff;
+  co_return Read.Whole ? HttpCallEnd::Complete : HttpCallEnd::BrokenOff;
 }
 
 asio::awaitable<HttpCallEnd> HttpClient::perform(std::string Address,
@@ -263,29 +326,38 @@
   if (Stream && !stillOpen(*Stream))
     Stream.reset();
   bool Connected = Stream != nullptr;
-  if (!Connected)
+  bool SingleThread = this->Impl->Options.SingleThread;
+  if (!Connected && SingleThread)
+    Stream = std::make_unique<beast::tcp_stream>(this->Impl->Executor);
+  else if (!Connected)
     Stream = std::make_unique<beast::tcp_stream>(
         asio::make_strand(this->Impl->Executor));
   bool Attached = Control.Shared->attach(Stream.get());
   OnExit Detach([&Control] { Control.Shared->attach(nullptr); });
   if (!Attached)
     co_return HttpCallEnd::NotWritten;
-  // The connection's strand runs all that touches it, so that neither its
-  // timeouts nor cancel() race with the call. The sink runs at home.
-  HomeSink AtHome(Sink, co_await asio::this_coro::executor);
-  bool KeepAlive = false;
-  HttpCallEnd End = co_await asio::co_spawn(
-      Stream->get_executor(),
-      exchange(*Stream, Connected, Address, std::move(Request), Options, AtHome,
-               KeepAlive),
-      asio::use_awaitable);
+  ReadAnswer Read;
+  HttpCallEnd End = HttpCallEnd::NotWritten;
+  if (SingleThread) {
+    End = co_await exchange(*Stream, Connected, Address, std::move(Request),
+                            Options, Sink, Read);
+  } else {
+    // The connection's strand runs all that touches it, so that neither its
+    // timeouts nor cancel() race with the call. The sink runs at home.
+    HomeSink AtHome(Sink, co_await asio::this_coro::executor);
+    End = co_await asio::co_spawn(Stream->get_executor(),
+                                  exchange(*Stream, Connected, Address,
+                                           std::move(Request), Options, AtHome,
+                                           Read),
+                                  asio::use_awaitable);
+  }
   Control.Shared->attach(nullptr);
   // Other idle connections to this address may be silent for the same reason;
   // new ones are made instead.
   if (End == HttpCallEnd::BrokenOff)
     this->Impl->dropIdle(Address);
-  if (End == HttpCallEnd::Complete && KeepAlive)
-    this->Impl->putIdle(Address, std::move(Stream));
+  if (End == HttpCallEnd::Complete && Read.Reusable)
+    this->Impl->putIdle(Address, std::move(Stream), Read.KeptFor);
   co_return End;
 }
 
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -42,6 +42,13 @@
   /// Called just before the first byte is written. Returning false ends the
   /// call as NotWritten.
   std::function<bool()> BeforeWrite = {};
+  /// Whether an answer belongs to this call. One that doesn't is dropped, the
+  /// next one on the connection is read instead, and the connection isn't
+  /// used again.
+  std::function<bool(const HttpResponseHead &)> Belongs = {};
+  /// An answer without a length is whole if its connection was closed in
+  /// order. Otherwise such an answer never counts as whole.
+  bool WholeOnClose = false;
 };
 
 /// Receives the parts of an answer, on the call's coroutine.
@@ -76,9 +83,19 @@
   std::string Body;
 };
 
+struct HttpClientOptions {
+  /// The executor runs on one thread, on which all calls are made: no strands
+  /// are needed.
+  bool SingleThread = false;
+  /// An idle connection older than this is not trusted to be alive any more.
+  /// A shorter time that the endpoint announced goes before.
+  Duration IdleAge = std::chrono::seconds(2);
+};
+
 class HttpClient {
 public:
-  explicit HttpClient(boost::asio::any_io_executor Executor);
+  explicit HttpClient(boost::asio::any_io_executor Executor,
+                      HttpClientOptions Options = {});
   ~HttpClient();
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -57,10 +57,11 @@
   void closeAcceptor();
 
   asio::any_io_executor Executor;
-  const HttpServerOptions Options;
+  HttpServerOptions Options;
   const HttpHandler Handler;
   tcp::acceptor Acceptor;
   std::atomic<bool> Stopping = false;
+  std::atomic<bool> Draining = false;
   std::atomic<std::size_t> Active = 0;
   std::atomic<std::size_t> Connections = 0;
 };
@@ -73,9 +74,9 @@
 public:
   Connection(beast::tcp_stream Stream, const HttpServerOptions &Options,
              const HttpHandler &Handler, std::atomic<bool> &Stopping,
-             std::atomic<std::size_t> &Active)
+             std::atomic<bool> &Draining, std::atomic<std::size_t> &Active)
       : Stream(std::move(Stream)), Options(Options), Handler(Handler),
-        Stopping(Stopping), Active(Active) {}
+        Stopping(Stopping), Draining(Draining), Active(Active) {}
 
   asio::awaitable<void> serve();
 
@@ -102,6 +103,7 @@
   const HttpServerOptions &Options;
   const HttpHandler &Handler;
   std::atomic<bool> &Stopping;
+  std::atomic<bool> &Draining;
   std::atomic<std::size_t> &Active;
   beast::flat_buffer Buffer;
   HttpRequest Current;
@@ -242,9 +244,10 @@
   Message.version(11);
   Message.result(Response.Status);
   setHeaders(Message, Response.Headers);
-  Message.set(http::field::content_type, Response.ContentType);
+  if (!Response.ContentType.empty())
+    Message.set(http::field::content_type, Response.ContentType);
   Message.body() = std::move(Response.Body);
-  this->KeepAlive = this->KeepAlive && !this->Stopping;
+  this->KeepAlive = this->KeepAlive && !this->Stopping && !this->Draining;
   Message.keep_alive(this->KeepAlive);
   Message.prepare_payload();
   this->Stream.expires_after(this->Options.TransferTimeout);
@@ -259,7 +262,7 @@
   Message.version(11);
   Message.result(Head.Status);
   setHeaders(Message, Head.Headers);
-  this->KeepAlive = this->KeepAlive && !this->Stopping;
+  this->KeepAlive = this->KeepAlive && !this->Stopping && !this->Draining;
   Message.keep_alive(this->KeepAlive);
   Message.chunked(true);
   http::response_serializer<http::empty_body> Serializer(Message);
@@ -305,7 +308,7 @@
     auto Executor = Socket.get_executor();
     auto Served = std::make_shared<Connection>(
         beast::tcp_stream(std::move(Socket)), this->Options, this->Handler,
-        this->Stopping, this->Active);
+        this->Stopping, this->Draining, this->Active);
     ++this->Connections;
     asio::co_spawn(
         Executor,
@@ -342,6 +345,16 @@
       asio::detached);
 }
 
+void HttpServer::drain() { this->Impl->Draining = true; }
+
+void HttpServer::setLimits(std::size_t HeaderBytes, std::size_t BodyBytes,
+                           Duration TransferTimeout, Duration IdleTimeout) {
+  this->Impl->Options.HeaderBytes = HeaderBytes;
+  this->Impl->Options.BodyBytes = BodyBytes;
+  this->Impl->Options.TransferTimeout = TransferTimeout;
+  this->Impl->Options.IdleTimeout = IdleTimeout;
+}
+
 void HttpServer::stop() { this->Impl->closeAcceptor(); }
 
 std::size_t HttpServer::activeExchanges() const { return this->Impl->Active; }
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -72,6 +72,16 @@
 
   void start();
 
+  /// Goes on taking connections and requests, but ends each connection with
+  /// its next answer.
+  void drain();
+
+  /// Changes how long a connection without a request is kept, and the bounds
+  /// of requests, for what is read from now on. Only from the executor's
+  /// thread, where there is one.
+  void setLimits(std::size_t HeaderBytes, std::size_t BodyBytes,
+                 Duration TransferTimeout, Duration IdleTimeout);
+
   /// Takes no new connection and closes each one after its current request.
   void stop();
 
