LibCatalog, LibFormation: Hold the operator's catalog, and form groups

Cause: the platform's operator numbers complete configurations, engines are ordered into groups by the system, and nobody lists endpoints. Today's intent and planner know none of the three. Ruled out: bending LibFleet's planner, whose endpoints announce groups by themselves and whose grants need a static list of peers. Change: catalog, its checks, the replicated register with the highest version; the register of heartbeats, the watch for losses and the formation planner, all without clocks and sockets.

--- /dev/null
+++ b/Libraries/LibCatalog/ControlRegister.cpp
@@ -0,0 +1,52 @@
+//===- LibCatalog/ControlRegister.cpp - The state that must never revert --===//
+
+#include <LibCatalog/ControlRegister.h>
+#include <algorithm>
+#include <stdexcept>
+
+namespace carobhinge {
+
+bool ControlRegister::accept(const message::RegisterCommand &Command) {
+  if (Command.failure_domain().empty()) {
+    // An equal version is a resend, or other content under a taken number.
+    if (Command.version() <= this->State.version())
+      return false;
+    this->State.set_version(Command.version());
+    this->State.set_text(Command.text());
+    return true;
+  }
+  auto &Emptied = *this->State.mutable_emptied_domains();
+  auto Found = std::ranges::find(Emptied, Command.failure_domain());
+  if (Command.emptied() == (Found != Emptied.end()))
+    return false;
+  if (Command.emptied())
+    this->State.add_emptied_domains(Command.failure_domain());
+  else
+    Emptied.erase(Found);
+  return true;
+}
+
+std::string ControlRegister::apply(std::uint64_t, std::int64_t,
+                                   std::string_view Command) {
+  message::RegisterCommand Decoded;
+  if (!Decoded.ParseFromArray(Command.data(), static_cast<int>(Command.size())))
+    throw std::runtime_error("a committed command of the register is damaged");
+  if (this->accept(Decoded)) {
+    this->State.set_revision(this->State.revision() + 1);
+    this->Changed(this->State);
+  }
+  return "done";
+}
+
+std::string ControlRegister::snapshot() const {
+  return this->State.SerializeAsString();
+}
+
+void ControlRegister::restore(std::string_view Snapshot) {
+  if (!this->State.ParseFromArray(Snapshot.data(),
+                                  static_cast<int>(Snapshot.size())))
+    throw std::runtime_error("the snapshot of the register is damaged");
+  this->Changed(this->State);
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibFormation/LossWatch.cpp
@@ -0,0 +1,81 @@
+//===- LibFormation/LossWatch.cpp - Which engines are lost ----------------===//
+
+#include <LibFormation/LossWatch.h>
+
+namespace carobhinge {
+
+void LossWatch::flowed(const GroupName &Group, TimePoint At) {
+  TimePoint &Newest = this->Flow[Group];
+  Newest = std::max(Newest, At);
+}
+
+void LossWatch::silent(TimePoint Now, const GroupName &Group) {
+  this->Silence[Group] = Now;
+}
+
+bool LossWatch::flows(TimePoint Now, const EngineRecord &Record) const {
+  if (!Record.Report.Group)
+    return false;
+  auto Found = this->Flow.find(Record.Report.Group->Group);
+  return Found != this->Flow.end() &&
+         Now - Found->second < this->Options.FlowAge;
+}
+
+std::vector<EndpointName> LossWatch::toAsk(TimePoint Now) {
+  std::vector<EndpointName> Ask;
+  for (const auto &[Id, Record] : this->Engines.all()) {
+    Duration Age = Now - Record.HeardAt;
+    bool Overdue =
+        Age > this->Options.ReportInterval + this->Options.ReportMargin;
+    bool Suspect = false;
+    if (Record.Report.Group) {
+      auto Found = this->Silence.find(Record.Report.Group->Group);
+      Suspect = Found != this->Silence.end() &&
+                Now - Found->second < this->Options.AskAgain;
+    }
+    if ((!Overdue && !Suspect) || this->flows(Now, Record))
+      continue;
+    Asked &Question = this->Questions[Id];
+    if (Question.Waiting || Now - Question.At < this->Options.AskAgain)
+      continue;
+    Question.At = Now;
+    Question.Waiting = true;
+    Ask.push_back(Id);
+  }
+  return Ask;
+}
+
+void LossWatch::answered(TimePoint, const EndpointName &Id) {
+  Asked &Question = this->Questions[Id];
+  Question.Waiting = false;
+  Question.FailedAt.reset();
+}
+
+void LossWatch::unanswered(TimePoint Now, const EndpointName &Id) {
+  Asked &Question = this->Questions[Id];
+  Question.Waiting = false;
+  if (!Question.FailedAt)
+    Question.FailedAt = Now;
+}
+
+std::set<EndpointName> LossWatch::lost(TimePoint Now) {
+  std::set<EndpointName> Lost;
+  std::erase_if(this->Questions, [&](const auto &Entry) {
+    return this->Engines.find(Entry.first) == nullptr;
+  });
+  for (auto &[Id, Question] : this->Questions) {
+    if (!Question.FailedAt)
+      continue;
+    const EngineRecord &Record = *this->Engines.find(Id);
+    // It was heard after it had failed to answer.
+    if (Record.HeardAt > *Question.FailedAt) {
+      Question.FailedAt.reset();
+      continue;
+    }
+    if (!this->flows(Now, Record))
+      Lost.insert(Id);
+  }
+  return Lost;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibFormation/LossWatch.h
@@ -0,0 +1,75 @@
+//===- LibFormation/LossWatch.h - Which engines are lost ------------------===//
+///
+/// \file
+/// Weighs the signs that an engine is gone: a heartbeat that is overdue, entry
+/// hosts whose streams got silent, and no answer when it is asked. An engine
+/// that the control hosts can't reach but whose group goes on answering is
+/// not lost.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBFORMATION_LOSSWATCH_H
+#define LIBFORMATION_LOSSWATCH_H
+
+#include <LibFormation/EngineRegister.h>
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace carobhinge {
+
+struct LossWatchOptions {
+  /// Between two heartbeats.
+  Duration ReportInterval = std::chrono::milliseconds(1200);
+  /// Beyond the interval before an engine is asked: heartbeats are sent with
+  /// some jitter and passed on in batches.
+  Duration ReportMargin = std::chrono::milliseconds(400);
+  /// Without an answer in this time the engine is taken for lost; one that
+  /// lives answers within a few milliseconds.
+  Duration AnswerTimeout = std::chrono::milliseconds(350);
+  /// An engine that has answered isn't asked again for this long.
+  Duration AskAgain = std::chrono::milliseconds(600);
+  /// A group from which an event came less than this ago has all its members.
+  Duration FlowAge = std::chrono::milliseconds(400);
+};
+
+class LossWatch {
+public:
+  LossWatch(LossWatchOptions Options, const EngineRegister &Engines)
+      : Options(Options), Engines(Engines) {}
+
+  /// An entry host got an event from the group at \p At.
+  void flowed(const GroupName &Group, TimePoint At);
+  /// An entry host waits for the group in vain.
+  void silent(TimePoint Now, const GroupName &Group);
+
+  /// The engines to be asked now. Each ends in answered() or unanswered().
+  [[nodiscard]] std::vector<EndpointName> toAsk(TimePoint Now);
+  void answered(TimePoint Now, const EndpointName &Id);
+  void unanswered(TimePoint Now, const EndpointName &Id);
+
+  /// Engines that are lost as far as is known, as of \p Now.
+  [[nodiscard]] std::set<EndpointName> lost(TimePoint Now);
+
+private:
+  struct Asked {
+    TimePoint At;
+    bool Waiting = false;
+    /// When the engine failed to answer, if it did since it was last heard.
+    std::optional<TimePoint> FailedAt;
+  };
+
+  [[nodiscard]] bool flows(TimePoint Now, const EngineRecord &Record) const;
+
+  LossWatchOptions Options;
+  const EngineRegister &Engines;
+  std::map<EndpointName, Asked> Questions;
+  std::map<GroupName, TimePoint> Flow;
+  /// Groups that were reported silent, and when last.
+  std::map<GroupName, TimePoint> Silence;
+};
+
+} // namespace carobhinge
+
+#endif // LIBFORMATION_LOSSWATCH_H
--- /dev/null
+++ b/Meta/CMake/LibCatalog.cmake
@@ -0,0 +1,1 @@
+carobhinge_library(LibCatalog LibConsensus LibCore protobuf)
--- /dev/null
+++ b/Meta/CMake/LibControl.cmake
@@ -0,0 +1,11 @@
+carobhinge_library(
+  LibControl
+  LibCatalog
+  LibFormation
+  LibConsensus
+  LibSettings
+  LibWire
+  LibHTTP
+  LibTelemetry
+  LibCore
+  protobuf)
--- /dev/null
+++ b/Meta/CMake/LibEntry.cmake
@@ -0,0 +1,11 @@
+carobhinge_library(
+  LibEntry
+  LibControl
+  LibCatalog
+  LibFormation
+  LibSettings
+  LibWire
+  LibHTTP
+  LibTelemetry
+  LibCore
+  protobuf)
--- /dev/null
+++ b/Meta/CMake/LibFormation.cmake
@@ -0,0 +1,1 @@
+carobhinge_library(LibFormation LibCatalog LibCore)
--- a/Meta/CMake/LibServe.cmake
+++ b/Meta/CMake/LibServe.cmake
@@ -15,7 +15,8 @@
   carobhinge
   ${CMAKE_SOURCE_DIR}/Carobhinge/main.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/ServeCommand.cpp
+  ${CMAKE_SOURCE_DIR}/Carobhinge/HostCommands.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/StandInCommand.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/OperatorCommands.cpp)
 target_include_directories(carobhinge PRIVATE ${CMAKE_SOURCE_DIR})
-target_link_libraries(carobhinge PRIVATE LibServe LibStandIn LibCommands)
+target_link_libraries(carobhinge PRIVATE LibServe LibStandIn LibCommands Platform)
