--- a/Carobhinge/Commands.h
+++ b/Carobhinge/Commands.h
@@ -15,6 +15,9 @@
 namespace carobhinge {
 
 void addServeCommand(CLI::App &To, int &Exit);
+
+/// The commands entry and control.
+void addHostCommands(CLI::App &To, int &Exit);
 void addStandInCommands(CLI::App &To, int &Exit);
 void addOperatorCommands(CLI::App &To, int &Exit);
 
--- a/Carobhinge/main.cpp
+++ b/Carobhinge/main.cpp
@@ -19,6 +19,7 @@
   App.require_subcommand(1);
   int Exit = ExitSuccess;
   addServeCommand(App, Exit);
+  addHostCommands(App, Exit);
   addOperatorCommands(App, Exit);
   addStandInCommands(App, Exit);
   try {
--- /dev/null
+++ b/Libraries/LibControl/AgreedState.h
@@ -0,0 +1,82 @@
+//===- LibControl/AgreedState.h - The state that control hosts agree on ---===//
+///
+/// \file
+/// Drives the replicated log of the control register and offers it to the
+/// coroutines of the process: proposals, confirmations by a majority, and the
+/// newest committed state. Apart from the log's own worker thread, everything
+/// happens on the executor's thread.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBCONTROL_AGREEDSTATE_H
+#define LIBCONTROL_AGREEDSTATE_H
+
+#include <LibCatalog/ControlRegister.h>
+#include <LibConsensus/LogDriver.h>
+#include <LibCore/Signal.h>
+#include <LibSettings/HostSettings.h>
+#include <LibStore/PosixDisk.h>
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace carobhinge {
+
+class AgreedState {
+public:
+  using Sender =
+      std::function<void(const HostName &, const message::ConsensusMessage &)>;
+  using Observer = std::function<void(const message::RegisterState &)>;
+
+  /// Opens the files in the data folder. \p First are the hosts of the first
+  /// voters. \throws DiskError, DamageError
+  AgreedState(boost::asio::any_io_executor Executor, const HostSettings &Own,
+              std::vector<HostName> First, Sender Send, Observer Changed);
+  ~AgreedState();
+
+  void receive(const HostName &From, const message::ConsensusMessage &Message);
+
+  /// Committed: the command is in force and will stay so.
+  boost::asio::awaitable<ProposalStatus>
+  propose(message::RegisterCommand Command);
+
+  /// Whether a majority has confirmed, after this call began, that state()
+  /// is the newest. Calls that come together share one confirmation.
+  boost::asio::awaitable<bool> confirm();
+
+  [[nodiscard]] const message::RegisterState &state() const {
+    return this->Newest;
+  }
+  [[nodiscard]] LogStatus status() const { return this->Log->status(); }
+  void changeVoters(std::vector<HostName> Hosts) {
+    this->Log->changeHosts(std::move(Hosts));
+  }
+  void transferLeadership() { this->Log->transferLeadership(); }
+  void stop() { this->Log->stop(); }
+
+private:
+  /// A confirmation that calls wait for.
+  struct Round {
+    explicit Round(const boost::asio::any_io_executor &Executor)
+        : Done(Executor) {}
+    Signal Done;
+    bool Confirmed = false;
+  };
+
+  void beginRound();
+
+  boost::asio::any_io_executor Executor;
+  message::RegisterState Newest;
+  PosixDisk Files;
+  ControlRegister Register;
+  std::unique_ptr<LogDriver> Log;
+  /// Begun; later calls can't rely on it.
+  std::shared_ptr<Round> Running;
+  /// Begins when the running one has ended.
+  std::shared_ptr<Round> Next;
+};
+
+} // namespace carobhinge
+
+#endif // LIBCONTROL_AGREEDSTATE_H
--- /dev/null
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -0,0 +1,277 @@
+//===- LibControl/ControlProcess.cpp - One control process ----------------===//
+///
+/// \file
+/// Wiring, timers and the calls between control hosts. The calls of operators
+/// and endpoints stand in ControlCalls.cpp.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibControl/ControlProcess.h>
+#include <LibControl/FleetMessages.h>
+
+#include <LibCore/Hash.h>
+#include <LibTelemetry/Log.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace asio = boost::asio;
+
+namespace carobhinge {
+
+/// Between two steps of the planning. A lost engine is asked about and
+/// replaced within a few of them.
+static constexpr auto TickInterval = std::chrono::milliseconds(100);
+static constexpr auto IntroduceInterval = std::chrono::milliseconds(700);
+static constexpr auto IntroduceTimeout = std::chrono::milliseconds(600);
+/// A leader plans only while a majority confirmed it this recently: less than
+/// an election takes.
+static constexpr auto PlanningLease = std::chrono::milliseconds(1200);
+/// Beyond one report interval after a start before a process plans: by then
+/// it has heard of every engine.
+static constexpr auto HearingMargin = std::chrono::milliseconds(1200);
+/// Between two changes of the voters: the last one is on its way meanwhile.
+static constexpr auto ChangePause = std::chrono::milliseconds(500);
+/// Handing over leadership takes one round trip.
+static constexpr auto HandOverTime = std::chrono::milliseconds(400);
+
+static std::vector<HostName> seedHosts(const HostSettings &Own) {
+  std::vector<HostName> Hosts;
+  for (const std::string &Seed : Own.Seeds)
+    Hosts.push_back(Seed.substr(0, Seed.rfind(':')));
+  return Hosts;
+}
+
+/// The first voters. Only at the first start of the whole system may this
+/// host be one of them; later it is admitted by those who vote.
+static std::vector<HostName> firstVoters(const HostSettings &Own) {
+  std::vector<HostName> Hosts = seedHosts(Own);
+  if (!Own.FirstStart)
+    std::erase(Hosts, Own.Ip);
+  if (Hosts.empty())
+    Hosts.push_back(Own.FirstStart ? Own.Ip : "0.0.0.0");
+  return Hosts;
+}
+
+static WireOptions wireOptions(const HostSettings &Own) {
+  return {.Cluster = "carobhinge",
+          .Self = Own.Ip,
+          .ConnectTimeout = std::chrono::milliseconds(700),
+          .PingInterval = std::chrono::milliseconds(500),
+          .SilenceTimeout = std::chrono::milliseconds(1600),
+          .MostReconnectPause = std::chrono::milliseconds(400)};
+}
+
+ControlProcess::ControlProcess(asio::io_context &Context, HostSettings Given,
+                               const ControlDialect &Dialect)
+    : Context(Context), Own(std::move(Given)), Dialect(Dialect),
+      Wire(wireOptions(this->Own)), StartedAt(monotonicNow()),
+      Hosts(this->Own.Ip, this->Own.FailureDomain),
+      Foreman(Context.get_executor(), this->Own, Dialect),
+      State(
+          Context.get_executor(), this->Own, firstVoters(this->Own),
+          [this](const HostName &To, const message::ConsensusMessage &Message) {
+            if (!this->Stopping)
+              this->link(To).post("consensus", Message.SerializeAsString());
+          },
+          [this](const message::RegisterState &Changed) {
+            this->stateChanged(Changed);
+          }),
+      Watchers(Context.get_executor(), this->State, this->Foreman, this->Hosts),
+      Peers(Context.get_executor(),
+            this->Own.Ip + ":" + std::to_string(this->Own.PeerPort), this->Wire,
+            this->handlers()),
+      Calls(Context.get_executor(),
+            {.Listen = this->Own.ControlAddress,
+             .BodyBytes = std::size_t(8) * 1024 * 1024},
+            [this](HttpExchange &Exchange) { return this->handle(Exchange); }) {
+  for (const HostName &Host : seedHosts(this->Own))
+    this->Hosts.learn(this->StartedAt, Host);
+}
+
+ControlProcess::~ControlProcess() = default;
+
+void ControlProcess::start() {
+  logEvent(Severity::Info, "start",
+           {{"role", "control"},
+            {"first_start", static_cast<std::int64_t>(this->Own.FirstStart)}});
+  this->Peers.start();
+  this->Calls.start();
+  asio::co_spawn(this->Context, this->tickLoop(), asio::detached);
+  asio::co_spawn(this->Context, this->introduceLoop(), asio::detached);
+}
+
+asio::awaitable<void> ControlProcess::stop() {
+  logEvent(Severity::Info, "stop", {{"role", "control"}});
+  this->Calls.drain();
+  this->State.transferLeadership();
+  Signal Pause(this->Context.get_executor());
+  co_await Pause.wait(HandOverTime);
+  this->Stopping = true;
+  this->Calls.stop();
+  this->Peers.stop();
+  this->State.stop();
+}
+
+WireLink &ControlProcess::link(const HostName &Host) {
+  std::unique_ptr<WireLink> &Link = this->Links[Host];
+  if (!Link)
+    Link = std::make_unique<WireLink>(
+        this->Context.get_executor(),
+        Host + ":" + std::to_string(this->Own.PeerPort), this->Wire,
+        hash64(Host, hash64(this->Own.Ip)));
+  return *Link;
+}
+
+void ControlProcess::stateChanged(const message::RegisterState &Changed) {
+  if (Changed.version() > this->InForce.Version) {
+    Findings Out;
+    if (auto Decoded = this->Dialect.readCatalog(Changed.text(), Out))
+      this->InForce = std::move(*Decoded);
+    else
+      logEvent(Severity::Error, "catalog-unreadable",
+               {{"version", static_cast<std::int64_t>(Changed.version())},
+                {"findings", Out.report()}});
+  }
+  logEvent(Severity::Info, "state-agreed",
+           {{"version", static_cast<std::int64_t>(Changed.version())},
+            {"emptied_domains", static_cast<std::int64_t>(
+                                    Changed.emptied_domains_size())}});
+  this->Watchers.wake();
+}
+
+asio::awaitable<void> ControlProcess::tickLoop() {
+  asio::steady_timer Timer(this->Context);
+  auto Token = asio::as_tuple(asio::use_awaitable);
+  while (!this->Stopping) {
+    this->tick(monotonicNow());
+    Timer.expires_after(TickInterval);
+    co_await Timer.async_wait(Token);
+  }
+}
+
+void ControlProcess::tick(TimePoint Now) {
+  LogStatus Status = this->State.status();
+  if (Status.Current != Role::Leader) {
+    if (this->Foreman.leads())
+      logEvent(Severity::Info, "leadership-lost", {});
+    this->Foreman.stopLeading();
+    this->ConfirmedAt.reset();
+    return;
+  }
+  if (!this->Confirming) {
+    this->Confirming = true;
+    asio::co_spawn(
+        this->Context,
+        [this, Now]() -> asio::awaitable<void> {
+          if (co_await this->State.confirm())
+            this->ConfirmedAt = Now;
+          this->Confirming = false;
+        },
+        asio::detached);
+  }
+  this->chooseVoters(Now);
+  bool Confirmed =
+      this->ConfirmedAt && Now - *this->ConfirmedAt < PlanningLease;
+  bool Heard = this->Own.FirstStart ||
+               Now - this->StartedAt > this->Own.ReportInterval + HearingMargin;
+  if (!Confirmed || !Heard || this->InForce.Services.empty())
+    return;
+  if (!this->Foreman.leads() || this->LedTerm != Status.Term) {
+    this->LedTerm = Status.Term;
+    this->Foreman.lead(Now, Status.Term, this->InForce);
+    logEvent(Severity::Info, "leadership-gained",
+             {{"term", static_cast<std::int64_t>(Status.Term)},
+              {"endpoints", static_cast<std::int64_t>(
+                                this->Foreman.engines().all().size())}});
+  }
+  if (this->Foreman.step(Now, this->InForce))
+    this->Watchers.wake();
+}
+
+void ControlProcess::chooseVoters(TimePoint Now) {
+  LogStatus Status = this->State.status();
+  auto Chosen = this->Hosts.chooseVoters(Now, Status.Voters, this->Own.Borne);
+  if (!Chosen || !this->ConfirmedAt)
+    return;
+  if (Now - this->VotersAskedAt < ChangePause)
+    return;
+  this->VotersAskedAt = Now;
+  logEvent(Severity::Info, "voters-change",
+           {{"hosts", static_cast<std::int64_t>(Chosen->size())}});
+  this->State.changeVoters(std::move(*Chosen));
+}
+
+asio::awaitable<void> ControlProcess::introduceLoop() {
+  asio::steady_timer Timer(this->Context);
+  auto Token = asio::as_tuple(asio::use_awaitable);
+  while (!this->Stopping) {
+    this->Hosts.forget(monotonicNow());
+    for (const HostName &Host : this->Hosts.known())
+      if (Host != this->Own.Ip)
+        asio::co_spawn(this->Context, this->introduce(Host), asio::detached);
+    Timer.expires_after(IntroduceInterval);
+    co_await Timer.async_wait(Token);
+  }
+}
+
+asio::awaitable<void> ControlProcess::introduce(HostName To) {
+  message::IntroduceCall Call;
+  Call.set_failure_domain(this->Own.FailureDomain);
+  for (const HostName &Host : this->Hosts.known())
+    Call.add_control_hosts(Host);
+  WireReply Reply = co_await this->link(To).call(
+      "introduce", Call.SerializeAsString(), IntroduceTimeout);
+  message::IntroduceResult Result;
+  if (Reply.End != WireCallEnd::Complete ||
+      !Result.ParseFromString(Reply.Message))
+    co_return;
+  TimePoint Now = monotonicNow();
+  this->Hosts.heard(Now, To, Result.failure_domain());
+  for (const std::string &Host : Result.control_hosts())
+    this->Hosts.learn(Now, Host);
+}
+
+std::map<std::string, WireHandler, std::less<>> ControlProcess::handlers() {
+  std::map<std::string, WireHandler, std::less<>> Table;
+  Table["consensus"] = [this](WireExchange &Exchange) -> asio::awaitable<void> {
+    message::ConsensusMessage Message;
+    if (Message.ParseFromString(Exchange.message()))
+      this->State.receive(Exchange.caller(), Message);
+    co_return;
+  };
+  Table["introduce"] = [this](WireExchange &Exchange) -> asio::awaitable<void> {
+    message::IntroduceCall Call;
+    Call.ParseFromString(Exchange.message());
+    TimePoint Now = monotonicNow();
+    this->Hosts.heard(Now, Exchange.caller(), Call.failure_domain());
+    message::IntroduceResult Result;
+    Result.set_failure_domain(this->Own.FailureDomain);
+    for (const HostName &Host : this->Hosts.known())
+      Result.add_control_hosts(Host);
+    for (const std::string &Host : Call.control_hosts())
+      this->Hosts.learn(Now, Host);
+    co_await Exchange.send(Result.SerializeAsString());
+  };
+  Table["relay"] = [this](WireExchange &Exchange) -> asio::awaitable<void> {
+    message::RelayCall Call;
+    Call.ParseFromString(Exchange.message());
+    TimePoint Now = monotonicNow();
+    for (const message::EngineReportMessage &Each : Call.reports())
+      this->Foreman.report(Now - std::chrono::milliseconds(Each.age_ms()),
+                           fromMessage(Each));
+    for (const std::string &Id : Call.leaving())
+      this->Foreman.leave(Id);
+    message::RelayResult Result;
+    Result.set_leading(this->Foreman.leads());
+    co_await Exchange.send(Result.SerializeAsString());
+  };
+  Table["watch"] = [this](WireExchange &Exchange) {
+    return this->Watchers.watch(Exchange);
+  };
+  Table["pulse"] = [this](WireExchange &Exchange) {
+    return this->Watchers.pulse(Exchange);
+  };
+  return Table;
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibControl/EntryWatchers.cpp
@@ -0,0 +1,125 @@
+//===- LibControl/EntryWatchers.cpp - Tells entry hosts of changes --------===//
+
+#include <LibControl/EntryWatchers.h>
+
+namespace asio = boost::asio;
+
+namespace carobhinge {
+
+/// Shows an entry host that its call is alive.
+static constexpr auto KeepAlive = std::chrono::seconds(1);
+/// Loads older than this are left out of the totals.
+static constexpr auto LoadAge = std::chrono::milliseconds(1500);
+
+void EntryWatchers::wake() {
+  std::shared_ptr<Signal> Old = this->Changed;
+  this->Changed = std::make_shared<Signal>(this->Executor);
+  Old->fire();
+}
+
+bool EntryWatchers::leads() const {
+  return this->State.status().Current == Role::Leader;
+}
+
+/// \returns whether there is anything to tell.
+bool EntryWatchers::fill(message::WatchUpdate &Update, Told &So) const {
+  bool Any = false;
+  const message::RegisterState &State = this->State.state();
+  if (State.revision() > So.Revision) {
+    Update.set_revision(State.revision());
+    Update.set_version(State.version());
+    if (State.version() > So.Version)
+      Update.set_text(State.text());
+    *Update.mutable_emptied_domains() = State.emptied_domains();
+    So.Revision = State.revision();
+    So.Version = State.version();
+    Any = true;
+  }
+  std::vector<HostName> Known = this->Hosts.known();
+  if (Known != So.ControlHosts || So.EntryHosts != this->count()) {
+    for (const HostName &Host : Known)
+      Update.add_control_hosts(Host);
+    Update.set_entry_hosts(this->count());
+    So.ControlHosts = Known;
+    So.EntryHosts = this->count();
+    Any = true;
+  }
+  if (this->Foreman.leads() &&
+      (!So.Whole || this->Foreman.revision() > So.Places)) {
+    Update.set_whole(!So.Whole);
+    for (const auto &[Name, Place] : this->Foreman.places()) {
+      if (So.Whole && Place.Revision <= So.Places)
+        continue;
+      if (!Place.Removed)
+        *Update.add_places() = Place.Message;
+      else if (So.Whole)
+        Update.add_removed(Name);
+    }
+    So.Whole = true;
+    So.Places = this->Foreman.revision();
+    Any = true;
+  }
+  return Any;
+}
+
+asio::awaitable<void> EntryWatchers::watch(WireExchange &Exchange) {
+  HostName Caller = Exchange.caller();
+  if (!this->leads()) {
+    message::WatchUpdate Update;
+    Update.set_not_leading(true);
+    Update.set_leader(this->State.status().Leader);
+    for (const HostName &Host : this->Hosts.known())
+      Update.add_control_hosts(Host);
+    co_await Exchange.send(Update.SerializeAsString());
+    co_return;
+  }
+  ++this->Watching[Caller];
+  this->wake();
+  Told So;
+  try {
+    while (!Exchange.callerGone() && this->leads()) {
+      std::shared_ptr<Signal> Next = this->Changed;
+      message::WatchUpdate Update;
+      this->fill(Update, So);
+      co_await Exchange.send(Update.SerializeAsString());
+      co_await Next->wait(KeepAlive);
+    }
+  } catch (const boost::system::system_error &) {
+    // The entry host is gone; it calls again if it lives.
+  }
+  auto Found = this->Watching.find(Caller);
+  if (Found != this->Watching.end() && --Found->second == 0)
+    this->Watching.erase(Found);
+}
+
+void EntryWatchers::fillTotals(TimePoint Now, message::PulseResult &Result) {
+  std::erase_if(this->Loads, [&](const auto &Entry) {
+    return Now - Entry.second.At > LoadAge;
+  });
+  std::map<std::string, int> Totals;
+  for (const auto &[Host, Entry] : this->Loads)
+    for (const message::PlaceLoadMessage &Load : Entry.Call.loads())
+      Totals[Load.place()] += Load.in_flight();
+  for (const auto &[Place, Count] : Totals) {
+    message::PlaceLoadMessage &Total = *Result.add_totals();
+    Total.set_place(Place);
+    Total.set_in_flight(Count);
+  }
+  Result.set_entry_hosts(this->count());
+}
+
+asio::awaitable<void> EntryWatchers::pulse(WireExchange &Exchange) {
+  Load Fresh{.Call = {}, .At = monotonicNow()};
+  Fresh.Call.ParseFromString(Exchange.message());
+  this->Foreman.entryLoad(Fresh.At, Fresh.Call);
+  HostName Caller = Exchange.caller();
+  this->Loads[Caller] = std::move(Fresh);
+  message::PulseResult Result;
+  bool Confirmed = co_await this->State.confirm();
+  Result.set_confirmed(Confirmed);
+  Result.set_revision(this->State.state().revision());
+  this->fillTotals(monotonicNow(), Result);
+  co_await Exchange.send(Result.SerializeAsString());
+}
+
+} // namespace carobhinge
--- /dev/null
+++ b/Libraries/LibControl/EntryWatchers.h
@@ -0,0 +1,66 @@
+//===- LibControl/EntryWatchers.h - Tells entry hosts of changes ----------===//
+///
+/// \file
+/// Each entry host keeps one open call to the leading control host, through
+/// which it gets the state in force and then every change.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBCONTROL_ENTRYWATCHERS_H
+#define LIBCONTROL_ENTRYWATCHERS_H
+
+#include <LibControl/AgreedState.h>
+#include <LibControl/ControlHosts.h>
+#include <LibControl/GroupForeman.h>
+#include <LibWire/WireServer.h>
+
+namespace carobhinge {
+
+class EntryWatchers {
+public:
+  EntryWatchers(boost::asio::any_io_executor Executor, AgreedState &State,
+                GroupForeman &Foreman, ControlHosts &Hosts)
+      : Executor(Executor), State(State), Foreman(Foreman), Hosts(Hosts),
+        Changed(std::make_shared<Signal>(Executor)) {}
+
+  /// Something changed; every watcher looks.
+  void wake();
+
+  /// Handlers of the two calls of entry hosts.
+  boost::asio::awaitable<void> watch(WireExchange &Exchange);
+  boost::asio::awaitable<void> pulse(WireExchange &Exchange);
+
+  [[nodiscard]] int count() const { return static_cast<int>(this->Watching.size()); }
+
+private:
+  /// What one watcher was told.
+  struct Told {
+    std::uint64_t Revision = 0;
+    std::uint64_t Version = 0;
+    std::uint64_t Places = 0;
+    bool Whole = false;
+    std::vector<HostName> ControlHosts;
+    int EntryHosts = 0;
+  };
+  struct Load {
+    message::PulseCall Call;
+    TimePoint At;
+  };
+
+  [[nodiscard]] bool leads() const;
+  bool fill(message::WatchUpdate &Update, Told &So) const;
+  void fillTotals(TimePoint Now, message::PulseResult &Result);
+
+  boost::asio::any_io_executor Executor;
+  AgreedState &State;
+  GroupForeman &Foreman;
+  ControlHosts &Hosts;
+  /// Fired and replaced at every change.
+  std::shared_ptr<Signal> Changed;
+  std::map<HostName, int> Watching;
+  std::map<HostName, Load> Loads;
+};
+
+} // namespace carobhinge
+
+#endif // LIBCONTROL_ENTRYWATCHERS_H
--- /dev/null
+++ b/Libraries/LibEntry/DispatchBoard.h
@@ -0,0 +1,181 @@
+//===- LibEntry/DispatchBoard.h - Where a request is sent -----------------===//
+///
+/// \file
+/// What one entry host knows of the places that serve: what the control hosts
+/// told, what it has sent there itself, and how the answers came. Chooses a
+/// place for each request and finds places that went silent. No clock and no
+/// sockets.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBENTRY_DISPATCHBOARD_H
+#define LIBENTRY_DISPATCHBOARD_H
+
+#include <LibCatalog/Catalog.h>
+#include <LibCore/Names.h>
+#include <LibCore/Time.h>
+#include <LibFormation/PlaceMode.h>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace carobhinge {
+
+/// The head of a group, or a plain endpoint.
+using PlaceName = std::string;
+
+struct Place {
+  PlaceName Name;
+  EndpointName Endpoint;
+  /// "IP:PORT".
+  std::string Address;
+  ServiceName Service;
+  /// Empty for plain services.
+  ModelName Model;
+  FailureDomainName FailureDomain;
+  /// Requests that it processes at once.
+  int Slots = 1;
+  TimePoint ColdUntil;
+  PlaceMode Mode = PlaceMode::Open;
+  /// Of a group: its number, which grows with each list of members.
+  std::uint64_t Epoch = 0;
+};
+
+struct DispatchOptions {
+  /// A stream that has begun and gets no event for this long, with no other
+  /// event from the same place, is taken to stand still: a pass of a full
+  /// group takes a tenth of it.
+  Duration SilentStream = std::chrono::milliseconds(450);
+  /// The same for a stream that waits for its first event, which includes
+  /// the wait for a slot and the reading of its prompt.
+  Duration SilentStart = std::chrono::milliseconds(700);
+  /// How long a place is left alone after a connection failed, doubled with
+  /// each failure in a row up to the second figure.
+  Duration LeastRest = std::chrono::milliseconds(250);
+  Duration MostRest = std::chrono::seconds(4);
+  /// Weight of the newest answer in a place's running figures.
+  double Smoothing = 0.2;
+  /// Load, in requests for each slot, that a place of another failure domain
+  /// has to be better by; bytes between domains are priced.
+  double DomainPreference = 0.04;
+  FailureDomainName FailureDomain;
+};
+
+using AttemptNumber = std::uint64_t;
+
+/// How an attempt at a place ended.
+enum class AttemptEnd {
+  Answered,
+  /// The endpoint said that it has not run the request.
+  Refused,
+  /// The endpoint's own failure.
+  Failed,
+  /// Connection failed before a byte was sent.
+  Unreachable,
+  /// Cut off after the request was sent.
+  Lost,
+  /// Ended by this side: caller gone, or deadline.
+  Dropped,
+};
+
+class DispatchBoard {
+public:
+  explicit DispatchBoard(DispatchOptions Options) : Options(std::move(Options)) {}
+
+  /// Adds or changes places. What was learned about a place stays unless its
+  /// endpoint is another one.
+  void update(std::span<const Place> Changed);
+  void remove(const PlaceName &Name);
+  /// Keeps only the places in \p Names.
+  void retain(const std::set<PlaceName> &Names);
+  void emptied(std::set<FailureDomainName> Domains) {
+    this->Emptied = std::move(Domains);
+  }
+  /// Requests in a second that this host may send to each cold endpoint of
+  /// the service.
+  void coldLimit(const ServiceName &Service, double PerSecond) {
+    this->ColdLimits[Service] = PerSecond;
+  }
+  /// What other entry hosts have in progress at a place.
+  void othersInFlight(const PlaceName &Name, int Count);
+
+  /// The best place that may take a request now, or nothing.
+  [[nodiscard]] std::optional<Place>
+  choose(TimePoint Now, const ServiceName &Service, const ModelName &Model,
+         std::span<const PlaceName> Avoid);
+
+  /// When a place that rests now may be tried again, if there is one.
+  [[nodiscard]] bool knows(const ServiceName &Service,
+                           const ModelName &Model) const;
+
+  AttemptNumber begin(TimePoint Now, const PlaceName &Name, bool Streams);
+  /// The attempt got its first bytes, or a further event.
+  void progressed(TimePoint Now, AttemptNumber Attempt);
+  void end(TimePoint Now, AttemptNumber Attempt, AttemptEnd How);
+
+  /// Attempts that are to be given up and repeated elsewhere, because their
+  /// place stands still.
+  [[nodiscard]] std::vector<AttemptNumber> findStanding(TimePoint Now);
+
+  struct PlaceLoad {
+    PlaceName Name;
+    int InFlight = 0;
+    /// Time since the last event from there; nothing if there was none.
+    std::optional<Duration> SinceEvent;
+    bool Silent = false;
+  };
+  /// Places with work in progress or a finding, for the control hosts.
+  [[nodiscard]] std::vector<PlaceLoad> loads(TimePoint Now) const;
+
+  /// Requests in progress by model, and slots of the open places.
+  struct ModelLoad {
+    int InFlight = 0;
+    int Slots = 0;
+  };
+  [[nodiscard]] ModelLoad load(const ServiceName &Service,
+                               const ModelName &Model) const;
+
+private:
+  struct Known {
+    Place Is;
+    int InFlight = 0;
+    int Others = 0;
+    /// Running means: time to the first event, pause, share of failures.
+    double FirstMs = 0;
+    double PauseMs = 0;
+    double FailureShare = 0;
+    std::optional<TimePoint> LastEvent;
+    TimePoint RestUntil = TimePoint::min();
+    int FailuresInRow = 0;
+    bool Silent = false;
+    /// Cold endpoints: when the next request may be sent.
+    TimePoint ColdNext = TimePoint::min();
+  };
+  struct Attempt {
+    PlaceName At;
+    TimePoint Since;
+    TimePoint LastProgress;
+    bool Begun = false;
+    bool Streams = false;
+  };
+
+  [[nodiscard]] bool mayTake(TimePoint Now, const Known &Candidate) const;
+  [[nodiscard]] double cost(const Known &Candidate) const;
+  void rest(TimePoint Now, Known &Where);
+
+  DispatchOptions Options;
+  std::map<PlaceName, Known> Places;
+  std::map<AttemptNumber, Attempt> Attempts;
+  std::set<FailureDomainName> Emptied;
+  std::map<ServiceName, double> ColdLimits;
+  AttemptNumber LastAttempt = 0;
+  std::uint64_t Turn = 0;
+};
+
+} // namespace carobhinge
+
+#endif // LIBENTRY_DISPATCHBOARD_H
--- /dev/null
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -0,0 +1,23 @@
+//===- LibEntry/EntryState.cpp - What an entry process has in force -------===//
+
+#include <LibEntry/EntryState.h>
+
+namespace carobhinge {
+
+/// A confirmation counts this much less than the time in which a key must
+/// stop working: a request may still be on its way to an endpoint then.
+static constexpr auto RevocationMargin = std::chrono::milliseconds(400);
+
+EntryState::EntryState(const HostSettings &Own)
+    : Own(Own), Board({.FailureDomain = Own.FailureDomain}),
+      Lease(Own.Bounds.RevocationTime - RevocationMargin) {}
+
+RepeatBudget &EntryState::budget(const ServiceName &Service) {
+  const PromisedBounds &Bounds = this->Own.Bounds;
+  RepeatBudgetOptions Options{.Ratio = Bounds.RepeatRatio,
+                              .Slack = Bounds.RepeatSlack,
+                              .Window = Bounds.RepeatWindow};
+  return this->Budgets.try_emplace(Service, Options).first->second;
+}
+
+} // namespace carobhinge
