LibFormation: Let an engine leave before it joins another group

Also an engine that had been replaced was found and lost by turns, since its old group went on answering without it. Ruled out: waiting for the head's stall time (the rule asks only that the engine left). Change: engines that report a serving group are only told to leave; evidence that a group answers counts for the list of members under which it answered. Requests go to the better of two places drawn by lot, full groups take no more, cold endpoints get requests from a few entry hosts only.

--- a/Libraries/LibControl/EntryWatchers.cpp
+++ b/Libraries/LibControl/EntryWatchers.cpp
@@ -21,8 +21,14 @@
   return this->State.status().Current == Role::Leader;
 }
 
+int EntryWatchers::indexOf(const HostName &Host) const {
+  return static_cast<int>(
+      std::distance(this->Watching.begin(), this->Watching.find(Host)));
+}
+
 /// \returns whether there is anything to tell.
-bool EntryWatchers::fill(message::WatchUpdate &Update, Told &So) const {
+bool EntryWatchers::fill(message::WatchUpdate &Update, const HostName &To,
+                         Told &So) const {
   bool Any = false;
   const message::RegisterState &State = this->State.state();
   if (State.revision() > So.Revision) {
@@ -36,10 +42,14 @@
     Any = true;
   }
   std::vector<HostName> Known = this->Hosts.known();
-  if (Known != So.ControlHosts || So.EntryHosts != this->count()) {
+  int Index = this->indexOf(To);
+  if (Known != So.ControlHosts || So.EntryHosts != this->count() ||
+      So.EntryIndex != Index) {
     for (const HostName &Host : Known)
       Update.add_control_hosts(Host);
     Update.set_entry_hosts(this->count());
+    Update.set_entry_index(Index);
+    So.EntryIndex = Index;
     So.ControlHosts = Known;
     So.EntryHosts = this->count();
     Any = true;
@@ -80,7 +90,7 @@
     while (!Exchange.callerGone() && this->leads()) {
       std::shared_ptr<Signal> Next = this->Changed;
       message::WatchUpdate Update;
-      this->fill(Update, So);
+      this->fill(Update, Caller, So);
       co_await Exchange.send(Update.SerializeAsString());
       co_await Next->wait(KeepAlive);
     }
--- a/Libraries/LibControl/EntryWatchers.h
+++ b/Libraries/LibControl/EntryWatchers.h
@@ -41,6 +41,7 @@
     bool Whole = false;
     std::vector<HostName> ControlHosts;
     int EntryHosts = 0;
+    int EntryIndex = 0;
   };
   struct Load {
     message::PulseCall Call;
@@ -48,7 +49,8 @@
   };
 
   [[nodiscard]] bool leads() const;
-  bool fill(message::WatchUpdate &Update, Told &So) const;
+  [[nodiscard]] int indexOf(const HostName &Host) const;
+  bool fill(message::WatchUpdate &Update, const HostName &To, Told &So) const;
   void fillTotals(TimePoint Now, message::PulseResult &Result);
 
   boost::asio::any_io_executor Executor;
--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -18,6 +18,7 @@
 /// off from the control hosts may still serve meanwhile.
 static constexpr auto ForgetAfter = std::chrono::seconds(30);
 static constexpr auto ForgetLeavingAfter = std::chrono::seconds(12);
+static constexpr auto FleetLogInterval = std::chrono::seconds(1);
 /// Answers to orders and questions are short.
 static constexpr std::size_t AnswerBytes = 64 * 1024;
 
@@ -25,17 +26,13 @@
   return {.ReportInterval = Own.ReportInterval};
 }
 
-static FormationOptions formationOptions(const HostSettings &Own) {
-  return {.Stall = Own.Bounds.StallTime};
-}
-
 GroupForeman::GroupForeman(asio::any_io_executor Executor,
                            const HostSettings &Own,
                            const ControlDialect &Dialect)
     : Executor(Executor), Own(Own), Dialect(Dialect),
       Client(Executor, {.SingleThread = true}),
       Watch(watchOptions(Own), this->Engines),
-      Planner(formationOptions(Own), this->Engines) {}
+      Planner({}, this->Engines) {}
 
 bool GroupForeman::report(TimePoint HeardAt, EngineReport Report) {
   return this->Engines.accept(HeardAt, std::move(Report));
@@ -47,9 +44,11 @@
 
 void GroupForeman::entryLoad(TimePoint Now, const message::PulseCall &Call) {
   for (const message::PlaceLoadMessage &Load : Call.loads()) {
-    if (Load.since_event_ms() >= 0)
-      this->Watch.flowed(Load.place(), Now - std::chrono::milliseconds(
-                                                 Load.since_event_ms()));
+    auto Place = this->Places.find(Load.place());
+    if (Load.since_event_ms() >= 0 && Place != this->Places.end())
+      this->Watch.flowed(
+          Load.place(), Place->second.Message.epoch(),
+          Now - std::chrono::milliseconds(Load.since_event_ms()));
     if (Load.silent())
       this->Watch.silent(Now, Load.place());
   }
@@ -145,8 +144,26 @@
   this->Planner.answered(monotonicNow(), Order, Result);
 }
 
+/// One line for each model: what serves, what doesn't, what is in reserve.
+void GroupForeman::logFleet(TimePoint Now) {
+  if (Now - this->FleetLoggedAt < FleetLogInterval)
+    return;
+  this->FleetLoggedAt = Now;
+  for (const auto &[Model, Count] : this->Planner.census())
+    logEvent(Severity::Info, "fleet",
+             {{"model", Model},
+              {"open_groups", Count.Open},
+              {"forming_groups", Count.Forming},
+              {"other_groups", Count.Other},
+              {"reserves", Count.Reserves},
+              {"loading_reserves", Count.Loading},
+              {"lost_endpoints", Count.Lost},
+              {"idle_endpoints", Count.Idle}});
+}
+
 bool GroupForeman::step(TimePoint Now, const Catalog &InForce) {
   this->watchLosses(Now);
+  this->logFleet(Now);
   for (EngineOrder &Order : this->Planner.plan(Now, InForce))
     asio::co_spawn(this->Executor, this->giveOrder(std::move(Order)),
                    asio::detached);
--- a/Libraries/LibControl/GroupForeman.h
+++ b/Libraries/LibControl/GroupForeman.h
@@ -52,6 +52,7 @@
 
 private:
   void watchLosses(TimePoint Now);
+  void logFleet(TimePoint Now);
   void ask(const EndpointName &Id);
   boost::asio::awaitable<void> askEngine(EndpointName Id, std::string Address);
   boost::asio::awaitable<void> giveOrder(EngineOrder Order);
@@ -67,6 +68,7 @@
   LossWatch Watch;
   FormationPlanner Planner;
   bool Leading = false;
+  TimePoint FleetLoggedAt;
   std::map<std::string, PlaceState> Places;
   std::uint64_t PlaceRevision = 0;
 };
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -127,14 +127,15 @@
       co_return co_await this->giveUp("out of time");
     if (this->Attempts >= MostAttempts)
       co_return co_await this->giveUp("too many attempts");
-    std::optional<Place> Where = this->Shared.State.Board.choose(
+    DispatchChoice Choice = this->Shared.State.Board.choose(
         monotonicNow(), this->Target, this->Call.Model, this->Tried);
-    if (!Where)
-      co_return co_await this->giveUp("no place");
+    if (!Choice.Where)
+      co_return co_await this->giveUp(Choice.Full ? "all places are full"
+                                                  : "no place");
     if (this->Attempts > 0 && !this->mayRepeat())
       co_return co_await this->giveUp("repeat not allowed");
     ++this->Attempts;
-    Next = co_await this->attempt(*Where);
+    Next = co_await this->attempt(*Choice.Where);
   }
   if (Next == Verdict::GiveUp)
     co_await this->giveUp("attempt failed");
--- a/Libraries/LibEntry/ControlFollower.cpp
+++ b/Libraries/LibEntry/ControlFollower.cpp
@@ -127,8 +127,10 @@
   if (Update.control_hosts_size() > 0)
     this->Hosts.assign(Update.control_hosts().begin(),
                        Update.control_hosts().end());
-  if (Update.entry_hosts() > 0)
+  if (Update.entry_hosts() > 0) {
     this->State.EntryHosts = Update.entry_hosts();
+    this->State.Board.shareWith(Update.entry_index(), Update.entry_hosts());
+  }
   this->Leader = From;
   if (Update.revision() > this->Revision)
     this->takeState(Update);
--- a/Libraries/LibEntry/DispatchBoard.cpp
+++ b/Libraries/LibEntry/DispatchBoard.cpp
@@ -1,6 +1,8 @@
 //===- LibEntry/DispatchBoard.cpp - Where a request is sent ---------------===//
 
 #include <LibEntry/DispatchBoard.h>
+
+#include <LibCore/Hash.h>
 #include <algorithm>
 #include <cassert>
 #include <limits>
@@ -56,10 +58,37 @@
   if (Is.Mode != PlaceMode::Open || this->Emptied.contains(Is.FailureDomain) ||
       Candidate.Silent)
     return false;
-  auto Limit = this->ColdLimits.find(Is.Service);
-  bool Cold = Now < Is.ColdUntil && Limit != this->ColdLimits.end() &&
-              Limit->second > 0;
-  return !Cold || Now >= Candidate.ColdNext;
+  return Now >= Is.ColdUntil || this->mayWarm(Now, Candidate);
+}
+
+/// Between two requests of this host to a cold endpoint; zero: any number.
+Duration DispatchBoard::coldPause(const ServiceName &Service) const {
+  auto Limit = this->ColdLimits.find(Service);
+  if (Limit == this->ColdLimits.end() || Limit->second <= 0)
+    return Duration::zero();
+  int Senders = std::min(this->EntryHosts, this->Options.ColdSenders);
+  double PerSecond = Limit->second * this->Options.ColdSafety / Senders;
+  return Duration(static_cast<Duration::rep>(1e9 / PerSecond));
+}
+
+/// Whether this host may send to the cold endpoint now. A few hosts, drawn by
+/// the endpoint's name, share what it bears.
+bool DispatchBoard::mayWarm(TimePoint Now, const Known &Candidate) const {
+  if (this->coldPause(Candidate.Is.Service) == Duration::zero())
+    return true;
+  auto First = hash64(Candidate.Is.Endpoint) %
+               static_cast<std::uint64_t>(this->EntryHosts);
+  auto Offset = (static_cast<std::uint64_t>(this->Index) + First) %
+                static_cast<std::uint64_t>(this->EntryHosts);
+  return Offset < static_cast<std::uint64_t>(this->Options.ColdSenders) &&
+         Now >= Candidate.ColdNext;
+}
+
+/// A group beyond its slots makes all wait; a plain endpoint queues a few.
+bool DispatchBoard::isFull(const Known &Candidate) const {
+  double Most = Candidate.Is.Slots *
+                (Candidate.Is.Model.empty() ? this->Options.PlainQueue : 1);
+  return Candidate.InFlight + Candidate.Others >= Most;
 }
 
 /// The load that a request would meet, worse where answers were slow or
@@ -75,49 +104,36 @@
   return Load * Slowness * Failures + Away;
 }
 
-std::optional<Place> DispatchBoard::choose(TimePoint Now,
-                                           const ServiceName &Service,
-                                           const ModelName &Model,
-                                           std::span<const PlaceName> Avoid) {
-  Known *Best = nullptr;
-  double Least = std::numeric_limits<double>::infinity();
-  // Starts at another place each time, so that equal ones take turns.
-  std::vector<Known *> Candidates;
-  for (auto &[Name, Entry] : this->Places)
-    if (Entry.Is.Service == Service &&
-        (Entry.Is.Model.empty() || Entry.Is.Model == Model) &&
-        this->mayTake(Now, Entry) &&
-        std::ranges::find(Avoid, Name) == Avoid.end())
-      Candidates.push_back(&Entry);
-  if (Candidates.empty())
-    return std::nullopt;
-  ++this->Turn;
-  for (std::size_t I = 0; I < Candidates.size(); ++I) {
-    Known *Each = Candidates[(I + this->Turn) % Candidates.size()];
-    double Cost = this->cost(*Each);
-    // A place that rests is taken only where there is no other.
-    if (Now < Each->RestUntil)
-      Cost += 1000;
-    if (Cost < Least) {
-      Least = Cost;
-      Best = Each;
-    }
-  }
-  if (Now < Best->Is.ColdUntil) {
-    auto Limit = this->ColdLimits.find(Service);
-    if (Limit != this->ColdLimits.end() && Limit->second > 0)
-      Best->ColdNext = Now + Duration(static_cast<Duration::rep>(
-                                 1e9 / Limit->second));
+DispatchChoice DispatchBoard::choose(TimePoint Now, const ServiceName &Service,
+                                     const ModelName &Model,
+                                     std::span<const PlaceName> Avoid) {
+  std::vector<Known *> Rested;
+  std::vector<Known *> Resting;
+  DispatchChoice Choice;
+  for (auto &[Name, Entry] : this->Places) {
+    if (Entry.Is.Service != Service ||
+        (!Entry.Is.Model.empty() && Entry.Is.Model != Model) ||
+        !this->mayTake(Now, Entry) ||
+        std::ranges::find(Avoid, Name) != Avoid.end())
+      continue;
+    if (this->isFull(Entry))
+      Choice.Full = true;
+    else
+      (Now < Entry.RestUntil ? Resting : Rested).push_back(&Entry);
   }
-  return Best->Is;
-}
-
-bool DispatchBoard::knows(const ServiceName &Service,
-                          const ModelName &Model) const {
-  return std::ranges::any_of(this->Places, [&](const auto &Entry) {
-    return Entry.second.Is.Service == Service &&
-           (Entry.second.Is.Model.empty() || Entry.second.Is.Model == Model);
-  });
+  // A place that rests is taken only where there is no other.
+  std::vector<Known *> &Candidates = Rested.empty() ? Resting : Rested;
+  if (Candidates.empty())
+    return Choice;
+  std::ranges::shuffle(Candidates, this->Random);
+  Known *Best = Candidates.front();
+  if (Candidates.size() > 1 && this->cost(*Candidates[1]) < this->cost(*Best))
+    Best = Candidates[1];
+  if (Now < Best->Is.ColdUntil)
+    Best->ColdNext = Now + this->coldPause(Service);
+  Choice.Where = Best->Is;
+  Choice.Full = false;
+  return Choice;
 }
 
 AttemptNumber DispatchBoard::begin(TimePoint Now, const PlaceName &Name,
--- a/Libraries/LibEntry/DispatchBoard.h
+++ b/Libraries/LibEntry/DispatchBoard.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <span>
 #include <string>
@@ -63,6 +64,21 @@
   /// has to be better by; bytes between domains are priced.
   double DomainPreference = 0.04;
   FailureDomainName FailureDomain;
+  /// Requests in progress for each slot of a plain endpoint up to which it is
+  /// given more; it queues a few.
+  double PlainQueue = 3;
+  /// Entry hosts that send to one cold endpoint at a time.
+  int ColdSenders = 12;
+  /// Part of what a cold endpoint bears that is used.
+  double ColdSafety = 0.8;
+  std::uint64_t Seed = 1;
+};
+
+/// Where to send a request, if anywhere.
+struct DispatchChoice {
+  std::optional<Place> Where;
+  /// There are places, but each has as much as it can process.
+  bool Full = false;
 };
 
 using AttemptNumber = std::uint64_t;
@@ -84,7 +100,8 @@
 
 class DispatchBoard {
 public:
-  explicit DispatchBoard(DispatchOptions Options) : Options(std::move(Options)) {}
+  explicit DispatchBoard(DispatchOptions Given)
+      : Options(std::move(Given)), Random(this->Options.Seed) {}
 
   /// Adds or changes places. What was learned about a place stays unless its
   /// endpoint is another one.
@@ -95,23 +112,26 @@
   void emptied(std::set<FailureDomainName> Domains) {
     this->Emptied = std::move(Domains);
   }
-  /// Requests in a second that this host may send to each cold endpoint of
-  /// the service.
+  /// This host is number \p Index of \p Count entry hosts.
+  void shareWith(int Index, int Count) {
+    this->Index = Index;
+    this->EntryHosts = std::max(Count, 1);
+  }
+  /// Requests in a second that a cold endpoint of the service bears from all
+  /// entry hosts together; 0: any number.
   void coldLimit(const ServiceName &Service, double PerSecond) {
     this->ColdLimits[Service] = PerSecond;
   }
   /// What other entry hosts have in progress at a place.
   void othersInFlight(const PlaceName &Name, int Count);
 
-  /// The best place that may take a request now, or nothing.
-  [[nodiscard]] std::optional<Place>
+  /// A place that may take a request now. Of two drawn by lot the better one:
+  /// what others send is known late, and entry hosts that all took the best
+  /// place would meet there.
+  [[nodiscard]] DispatchChoice
   choose(TimePoint Now, const ServiceName &Service, const ModelName &Model,
          std::span<const PlaceName> Avoid);
 
-  /// When a place that rests now may be tried again, if there is one.
-  [[nodiscard]] bool knows(const ServiceName &Service,
-                           const ModelName &Model) const;
-
   AttemptNumber begin(TimePoint Now, const PlaceName &Name, bool Streams);
   /// The attempt got its first bytes, or a further event.
   void progressed(TimePoint Now, AttemptNumber Attempt);
@@ -164,6 +184,9 @@
   };
 
   [[nodiscard]] bool mayTake(TimePoint Now, const Known &Candidate) const;
+  [[nodiscard]] bool isFull(const Known &Candidate) const;
+  [[nodiscard]] bool mayWarm(TimePoint Now, const Known &Candidate) const;
+  [[nodiscard]] Duration coldPause(const ServiceName &Service) const;
   [[nodiscard]] double cost(const Known &Candidate) const;
   void rest(TimePoint Now, Known &Where);
 
@@ -173,7 +196,9 @@
   std::set<FailureDomainName> Emptied;
   std::map<ServiceName, double> ColdLimits;
   AttemptNumber LastAttempt = 0;
-  std::uint64_t Turn = 0;
+  std::mt19937_64 Random;
+  int Index = 0;
+  int EntryHosts = 1;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -2,6 +2,8 @@
 
 #include <LibEntry/EntryState.h>
 
+#include <LibCore/Hash.h>
+
 namespace carobhinge {
 
 /// A confirmation counts this much less than the time in which a key must
@@ -9,7 +11,7 @@
 static constexpr auto RevocationMargin = std::chrono::milliseconds(400);
 
 EntryState::EntryState(const HostSettings &Own)
-    : Own(Own), Board({.FailureDomain = Own.FailureDomain}),
+    : Own(Own), Board({.FailureDomain = Own.FailureDomain, .Seed = hash64(Own.Ip)}),
       Lease(Own.Bounds.RevocationTime - RevocationMargin) {}
 
 RepeatBudget &EntryState::budget(const ServiceName &Service) {
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -56,8 +56,7 @@
                        .Epoch = Epochs[Name],
                        .Members = {},
                        .Phase = GroupPhase::Joining,
-                       .Since = Now,
-                       .HeadLostAt = {}};
+                       .Since = Now};
     for (const auto &[Rank, Record] : ByRank)
       Group.Members.push_back(Record->Report.Id);
     if (isReserveName(Name)) {
@@ -70,12 +69,8 @@
     MemberState Head = First.Group->State;
     if (Whole && (Head == MemberState::Open || Head == MemberState::Closing))
       Group.Phase = GroupPhase::Open;
-    if (!Whole) {
-      // Its head may be the one that isn't heard.
-      Group.Phase = GroupPhase::Short;
-      if (ByRank.begin()->first != 0)
-        Group.HeadLostAt = Now;
-    }
+    if (!Whole)
+      Group.Phase = GroupPhase::Dissolving;
     this->Groups[Name] = std::move(Group);
   }
 }
@@ -173,6 +168,7 @@
     this->advance(Now, *InForce.service(Group.Service), Group);
   std::erase_if(this->Groups,
                 [](const auto &Entry) { return Entry.second.Members.empty(); });
+  this->releaseStrays(Now);
   for (const Service &Of : InForce.Services)
     if (Of.Engine)
       this->formGroups(Now, Of);
@@ -190,8 +186,6 @@
   case GroupPhase::Open:
   case GroupPhase::Finishing:
     return this->advanceOpen(Now, Of, Group);
-  case GroupPhase::Short:
-    return this->repair(Now, Of, Group);
   case GroupPhase::Dissolving:
     return this->advanceDissolving(Now, Group);
   }
@@ -253,8 +247,6 @@
 /// Puts engines of the same domain into the places of members that are gone.
 void FormationPlanner::repair(TimePoint Now, const Service &Of,
                               PlannedGroup &Group) {
-  if (!this->isUsable(Group.head()) && !Group.HeadLostAt)
-    Group.HeadLostAt = Now;
   std::vector<EndpointName> Kept;
   for (const EndpointName &Id : Group.Members)
     if (this->isUsable(Id))
@@ -272,20 +264,11 @@
     for (const EndpointName &Id : Next.Members)
       this->Reserves.erase(Id);
     Next.Epoch = this->nextEpoch();
-    Next.HeadLostAt.reset();
     Group = std::move(Next);
     this->enter(Now, Group, GroupPhase::Joining);
     return this->advanceJoining(Now, Of, Group);
   }
-  if (!Group.HeadLostAt)
-    return this->dissolve(Now, Group);
-  if (Group.Phase != GroupPhase::Short)
-    this->enter(Now, Group, GroupPhase::Short);
-  // Until then the head may still hold requests, and its members must not be
-  // taken into another group.
-  if (Now - *Group.HeadLostAt >=
-      this->Options.Stall + this->Options.StallMargin)
-    this->dissolve(Now, Group);
+  this->dissolve(Now, Group);
 }
 
 void FormationPlanner::dissolve(TimePoint Now, PlannedGroup &Group) {
@@ -295,10 +278,6 @@
 }
 
 void FormationPlanner::advanceDissolving(TimePoint Now, PlannedGroup &Group) {
-  // The head first: once it left, nothing keeps the others.
-  const EndpointName Head = Group.head();
-  if (this->isUsable(Head) && this->membership(Head, Group) != nullptr)
-    return this->order(Now, Head, OrderVerb::Leave, Group);
   std::erase_if(Group.Members, [&](const EndpointName &Id) {
     return !this->isUsable(Id) || this->membership(Id, Group) == nullptr;
   });
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -10,8 +10,8 @@
 /// - A lost member is replaced by an engine of the same domain that holds the
 ///   model. Engines outside groups are kept as reserves: each joins a group of
 ///   its own that is never opened, so that its weights are at hand.
-/// - An engine is taken from a group only when the group's head can't be
-///   serving any more: the head left, or stood still long enough to give up.
+/// - An engine joins another group only after it left its last one and says
+///   so: a group that is given up tells all its members to leave.
 ///
 /// No clock, no sockets: it is told the time, the reports and the evidence of
 /// loss, and returns orders.
@@ -38,10 +38,6 @@
   /// An order that had no effect is given again after this time: an engine
   /// answers and reports within a few milliseconds.
   Duration RepeatAfter = std::chrono::milliseconds(700);
-  /// How long a head accepts requests with a member missing.
-  Duration Stall = std::chrono::seconds(6);
-  /// Beyond Stall before members of a head that went silent are used again.
-  Duration StallMargin = std::chrono::milliseconds(1500);
   /// How long a group whose member leaves goes on with what it has.
   Duration FinishTime = std::chrono::milliseconds(1900);
   /// Beyond the announced times before a member that isn't ready counts as
@@ -59,8 +55,6 @@
   Open,
   /// A member leaves: no new requests, what runs is finished.
   Finishing,
-  /// A member is lost and no replacement is at hand.
-  Short,
   /// The members are told to leave.
   Dissolving,
 };
@@ -75,9 +69,6 @@
   std::vector<EndpointName> Members;
   GroupPhase Phase = GroupPhase::Joining;
   TimePoint Since;
-  /// When the head was lost, if it was: it may serve what it has until Stall
-  /// has passed.
-  std::optional<TimePoint> HeadLostAt;
 
   [[nodiscard]] const EndpointName &head() const {
     return this->Members.front();
@@ -112,6 +103,19 @@
   /// Grows whenever a group changes.
   [[nodiscard]] std::uint64_t revision() const { return this->Revision; }
 
+  /// What became of the engines, for logs and metrics. Engines that hold no
+  /// model or are lost are counted under the empty name.
+  struct Census {
+    std::int64_t Open = 0;
+    std::int64_t Forming = 0;
+    std::int64_t Other = 0;
+    std::int64_t Reserves = 0;
+    std::int64_t Loading = 0;
+    std::int64_t Lost = 0;
+    std::int64_t Idle = 0;
+  };
+  [[nodiscard]] std::map<ModelName, Census> census() const;
+
 private:
   struct SentOrder {
     OrderVerb Verb = OrderVerb::Join;
@@ -145,6 +149,7 @@
   void formFromReserves(TimePoint Now, const Service &Of,
                         const FabricDomainName &Fabric, Pool &Idle);
   void keepReserves(TimePoint Now, const Service &Of, Pool &Idle);
+  void releaseStrays(TimePoint Now);
   void create(TimePoint Now, const Service &Of, const ModelSpec &Model,
               const FabricDomainName &Fabric,
               std::vector<const EngineRecord *> Members);
@@ -161,6 +166,8 @@
   [[nodiscard]] ModelName modelInMemory(const EngineRecord &Record) const;
   [[nodiscard]] bool holds(const EngineRecord &Record,
                            const ModelName &Model) const;
+  [[nodiscard]] bool isBound(const EngineRecord &Record,
+                             const GroupName &Other) const;
   [[nodiscard]] std::optional<EndpointName>
   findReplacement(const PlannedGroup &Group) const;
   [[nodiscard]] std::set<EndpointName> taken() const;
--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -36,6 +36,13 @@
          Record.Report.Staged.end();
 }
 
+/// Whether the engine must leave a serving group before it joins \p Other.
+bool FormationPlanner::isBound(const EngineRecord &Record,
+                               const GroupName &Other) const {
+  const auto &Member = Record.Report.Group;
+  return Member && Member->Group != Other && !isReserveName(Member->Group);
+}
+
 std::set<EndpointName> FormationPlanner::taken() const {
   std::set<EndpointName> Taken;
   for (const auto &[Name, Group] : this->Groups)
@@ -51,7 +58,8 @@
   for (const auto &[Id, Record] : this->Engines.all()) {
     if (Record.Report.Fabric != Group.Fabric ||
         Record.Report.Service != Group.Service || Taken.contains(Id) ||
-        !this->isUsable(Id) || !this->holds(Record, Group.Model))
+        !this->isUsable(Id) || !this->holds(Record, Group.Model) ||
+        this->isBound(Record, Group.Name))
       continue;
     bool InMemory = this->modelInMemory(Record) == Group.Model;
     if (Best == nullptr ||
@@ -71,7 +79,7 @@
     Pool &Its = Pools[Record.Report.Fabric];
     ++Its.Engines;
     Its.NewestAt = std::max(Its.NewestAt, Record.FirstHeardAt);
-    if (!Taken.contains(Id))
+    if (!Taken.contains(Id) && !this->isBound(Record, {}))
       Its.Free.push_back(&Record);
   }
   for (const auto &[Name, Group] : this->Groups)
@@ -80,6 +88,30 @@
   return Pools;
 }
 
+/// Engines that report a group which doesn't list them: one that was given up
+/// while they were out of reach, or a join that was carried out late.
+void FormationPlanner::releaseStrays(TimePoint Now) {
+  for (const auto &[Id, Record] : this->Engines.all()) {
+    const auto &Member = Record.Report.Group;
+    if (!Member || isReserveName(Member->Group) || !this->isUsable(Id))
+      continue;
+    auto Found = this->Groups.find(Member->Group);
+    if (Found != this->Groups.end() &&
+        std::ranges::find(Found->second.Members, Id) !=
+            Found->second.Members.end())
+      continue;
+    PlannedGroup Left{.Name = Member->Group,
+                      .Service = Record.Report.Service,
+                      .Model = modelOfGroup(Member->Group),
+                      .Fabric = Record.Report.Fabric,
+                      .Epoch = Member->Epoch,
+                      .Members = {Id},
+                      .Phase = GroupPhase::Dissolving,
+                      .Since = Now};
+    this->order(Now, Id, OrderVerb::Leave, Left);
+  }
+}
+
 /// Engines in groups by model; groups that are being dissolved left out.
 std::map<ModelName, double> FormationPlanner::enginesByModel() const {
   std::map<ModelName, double> Engines;
@@ -160,6 +192,37 @@
   return CountSearch(Spec, Engines, this->Options.LeastReserves, Serving).run();
 }
 
+std::map<ModelName, FormationPlanner::Census> FormationPlanner::census() const {
+  std::map<ModelName, Census> Counts;
+  for (const auto &[Name, Group] : this->Groups) {
+    Census &Its = Counts[Group.Model];
+    bool Forming = Group.Phase == GroupPhase::Joining ||
+                   Group.Phase == GroupPhase::Opening;
+    ++(Group.Phase == GroupPhase::Open ? Its.Open
+       : Forming                       ? Its.Forming
+                                       : Its.Other);
+  }
+  std::set<EndpointName> Taken = this->taken();
+  for (const auto &[Id, Record] : this->Engines.all()) {
+    if (Record.Report.Fabric.empty())
+      continue;
+    if (!this->isUsable(Id)) {
+      ++Counts[{}].Lost;
+      continue;
+    }
+    if (Taken.contains(Id))
+      continue;
+    auto Reserve = this->Reserves.find(Id);
+    if (Reserve == this->Reserves.end()) {
+      ++Counts[{}].Idle;
+      continue;
+    }
+    Census &Its = Counts[Reserve->second.Model];
+    ++(this->holds(Record, Reserve->second.Model) ? Its.Reserves : Its.Loading);
+  }
+  return Counts;
+}
+
 void FormationPlanner::formGroups(TimePoint Now, const Service &Of) {
   for (auto &[Fabric, Idle] : this->pools(Of)) {
     if (Idle.Free.empty() || Now - Idle.NewestAt < this->Options.Settle)
@@ -184,8 +247,7 @@
                      .Epoch = Epoch,
                      .Members = {},
                      .Phase = GroupPhase::Joining,
-                     .Since = Now,
-                     .HeadLostAt = {}};
+                     .Since = Now};
   for (const EngineRecord *Member : Members) {
     Group.Members.push_back(Member->Report.Id);
     this->Reserves.erase(Member->Report.Id);
@@ -303,8 +365,7 @@
                          .Epoch = Epoch,
                          .Members = {Each->Report.Id},
                          .Phase = GroupPhase::Joining,
-                         .Since = Now,
-                         .HeadLostAt = {}};
+                         .Since = Now};
     this->order(Now, Each->Report.Id, OrderVerb::Join, Reserve);
     this->Reserves[Each->Report.Id] = std::move(Reserve);
   }
--- a/Libraries/LibFormation/LossWatch.cpp
+++ b/Libraries/LibFormation/LossWatch.cpp
@@ -4,9 +4,13 @@
 
 namespace carobhinge {
 
-void LossWatch::flowed(const GroupName &Group, TimePoint At) {
-  TimePoint &Newest = this->Flow[Group];
-  Newest = std::max(Newest, At);
+void LossWatch::flowed(const GroupName &Group, std::uint64_t Epoch,
+                       TimePoint At) {
+  Flowing &Newest = this->Flow[Group];
+  if (Epoch > Newest.Epoch)
+    Newest = {.Epoch = Epoch, .At = At};
+  else if (Epoch == Newest.Epoch)
+    Newest.At = std::max(Newest.At, At);
 }
 
 void LossWatch::silent(TimePoint Now, const GroupName &Group) {
@@ -17,8 +21,10 @@
   if (!Record.Report.Group)
     return false;
   auto Found = this->Flow.find(Record.Report.Group->Group);
+  // One that was replaced proves nothing by the group's going on without it.
   return Found != this->Flow.end() &&
-         Now - Found->second < this->Options.FlowAge;
+         Found->second.Epoch == Record.Report.Group->Epoch &&
+         Now - Found->second.At < this->Options.FlowAge;
 }
 
 std::vector<EndpointName> LossWatch::toAsk(TimePoint Now) {
--- a/Libraries/LibFormation/LossWatch.h
+++ b/Libraries/LibFormation/LossWatch.h
@@ -39,8 +39,9 @@
   LossWatch(LossWatchOptions Options, const EngineRegister &Engines)
       : Options(Options), Engines(Engines) {}
 
-  /// An entry host got an event from the group at \p At.
-  void flowed(const GroupName &Group, TimePoint At);
+  /// An entry host got an event from the group, under this list of members,
+  /// at \p At.
+  void flowed(const GroupName &Group, std::uint64_t Epoch, TimePoint At);
   /// An entry host waits for the group in vain.
   void silent(TimePoint Now, const GroupName &Group);
 
@@ -60,12 +61,17 @@
     std::optional<TimePoint> FailedAt;
   };
 
+  struct Flowing {
+    std::uint64_t Epoch = 0;
+    TimePoint At;
+  };
+
   [[nodiscard]] bool flows(TimePoint Now, const EngineRecord &Record) const;
 
   LossWatchOptions Options;
   const EngineRegister &Engines;
   std::map<EndpointName, Asked> Questions;
-  std::map<GroupName, TimePoint> Flow;
+  std::map<GroupName, Flowing> Flow;
   /// Groups that were reported silent, and when last.
   std::map<GroupName, TimePoint> Silence;
 };
