LibFormation: Serve one model in each fabric domain, and bound the loads

A domain with one group of each model has one reserve for each; its second loss left three members idle, since a host keeps one model only. Up to 15 engines loaded at once, so that each took 40 s instead of 16, and reserves loaded the wrong model: the formula ignored groups given up. Ruled out: lost heartbeats (groups stood in joining for 38 s, reported so). Change: a domain serves one model, survivors and newcomers are its reserves; loads beyond the store's concurrency wait, those that complete a group go first; a member that doesn't get ready is left alone for 5 s.

--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -43,6 +43,8 @@
 }
 
 void GroupForeman::entryLoad(TimePoint Now, const message::PulseCall &Call) {
+  if (Call.loads_size() > 0)
+    this->Planner.trafficBegan();
   for (const message::PlaceLoadMessage &Load : Call.loads()) {
     auto Place = this->Places.find(Load.place());
     if (Load.since_event_ms() >= 0 && Place != this->Places.end())
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -23,6 +23,7 @@
   this->Groups.clear();
   this->Reserves.clear();
   this->Sent.clear();
+  this->Assigned.clear();
   this->adoptGroups(Now, InForce);
   ++this->Revision;
 }
@@ -56,7 +57,8 @@
                        .Epoch = Epochs[Name],
                        .Members = {},
                        .Phase = GroupPhase::Joining,
-                       .Since = Now};
+                       .Since = Now,
+                       .ReadyBy = Now + Model->LoadTime};
     for (const auto &[Rank, Record] : ByRank)
       Group.Members.push_back(Record->Report.Id);
     if (isReserveName(Name)) {
@@ -71,6 +73,7 @@
       Group.Phase = GroupPhase::Open;
     if (!Whole)
       Group.Phase = GroupPhase::Dissolving;
+    this->Assigned[Group.Fabric] = Group.Model;
     this->Groups[Name] = std::move(Group);
   }
 }
@@ -168,6 +171,8 @@
     this->advance(Now, *InForce.service(Group.Service), Group);
   std::erase_if(this->Groups,
                 [](const auto &Entry) { return Entry.second.Members.empty(); });
+  std::erase_if(this->DistrustedUntil,
+                [&](const auto &Entry) { return Entry.second <= Now; });
   this->releaseStrays(Now);
   for (const Service &Of : InForce.Services)
     if (Of.Engine)
@@ -203,11 +208,15 @@
     if (Member == nullptr || Member->State == MemberState::Joining)
       AllReady = false;
   }
-  const ModelSpec &Model = *Of.Engine->model(Group.Model);
   if (!AllReady) {
-    if (Now - Group.Since > Model.LoadTime + this->Options.JoinMargin)
-      this->dissolve(Now, Group);
-    return;
+    if (Now < Group.ReadyBy)
+      return;
+    for (const EndpointName &Id : Group.Members) {
+      const GroupMembership *Member = this->membership(Id, Group);
+      if (Member == nullptr || Member->State == MemberState::Joining)
+        this->DistrustedUntil[Id] = Now + this->Options.Distrust;
+    }
+    return this->dissolve(Now, Group);
   }
   if (Group.Phase == GroupPhase::Joining)
     this->enter(Now, Group, GroupPhase::Opening);
@@ -265,6 +274,7 @@
       this->Reserves.erase(Id);
     Next.Epoch = this->nextEpoch();
     Group = std::move(Next);
+    Group.ReadyBy = Now + this->joinTime(Model, Group.Members);
     this->enter(Now, Group, GroupPhase::Joining);
     return this->advanceJoining(Now, Of, Group);
   }
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -5,11 +5,14 @@
 /// host; groups are its only state, and a new leader reads them off the
 /// engines' reports.
 ///
+/// - Each fabric domain serves one model, so that whatever is left over in it
+///   can take the place of any member that is lost: a host keeps the weights
+///   of one model only, and loading others takes longer than a group may miss
+///   a member.
 /// - A group stands inside one fabric domain. Its name stays while it is
 ///   repaired, its epoch grows with each list of members.
-/// - A lost member is replaced by an engine of the same domain that holds the
-///   model. Engines outside groups are kept as reserves: each joins a group of
-///   its own that is never opened, so that its weights are at hand.
+/// - Engines outside groups are kept as reserves: each joins a group of its
+///   own that is never opened, so that its weights are at hand.
 /// - An engine joins another group only after it left its last one and says
 ///   so: a group that is given up tells all its members to leave.
 ///
@@ -26,6 +29,7 @@
 #include <LibFormation/EngineRegister.h>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -41,10 +45,12 @@
   /// How long a group whose member leaves goes on with what it has.
   Duration FinishTime = std::chrono::milliseconds(1900);
   /// Beyond the announced times before a member that isn't ready counts as
-  /// faulty.
-  Duration JoinMargin = std::chrono::seconds(3);
-  /// Engines of a domain kept outside serving groups, if it can spare them.
-  int LeastReserves = 1;
+  /// faulty, and how long it isn't used then.
+  Duration JoinMargin = std::chrono::seconds(2);
+  Duration Distrust = std::chrono::seconds(5);
+  /// A model that the failure domain has already is preferred only where it
+  /// is served this much worse than the other.
+  double SameModelPenalty = 1.75;
 };
 
 enum class GroupPhase {
@@ -69,6 +75,8 @@
   std::vector<EndpointName> Members;
   GroupPhase Phase = GroupPhase::Joining;
   TimePoint Since;
+  /// When all members must be ready.
+  TimePoint ReadyBy;
 
   [[nodiscard]] const EndpointName &head() const {
     return this->Members.front();
@@ -92,6 +100,9 @@
     return this->Lost.contains(Id);
   }
 
+  /// The first requests came. Loads take their full time from now on.
+  void trafficBegan() { this->TrafficBegan = true; }
+
   /// Brings the groups one step further. \returns the orders to give now.
   std::vector<EngineOrder> plan(TimePoint Now, const Catalog &InForce);
 
@@ -124,14 +135,17 @@
     TimePoint At;
     OrderResult Result = OrderResult::Unanswered;
   };
-  /// The engines of one fabric domain that no group needs.
-  struct Pool {
-    ServiceName Service;
+  /// One fabric domain.
+  struct Domain {
+    FailureDomainName Place;
+    /// Engines that can be used, in groups or not.
     int Engines = 0;
     TimePoint NewestAt;
+    /// Those that are in no group.
     std::vector<const EngineRecord *> Free;
-    std::map<ModelName, int> Groups;
+    int Groups = 0;
   };
+  using Domains = std::map<FabricDomainName, Domain>;
 
   void adoptGroups(TimePoint Now, const Catalog &InForce);
   void advance(TimePoint Now, const Service &Of, PlannedGroup &Group);
@@ -142,23 +156,29 @@
   void advanceDissolving(TimePoint Now, PlannedGroup &Group);
   void enter(TimePoint Now, PlannedGroup &Group, GroupPhase Phase);
 
-  [[nodiscard]] std::map<FabricDomainName, Pool> pools(const Service &Of) const;
+  [[nodiscard]] Domains domains(const Service &Of) const;
   void formGroups(TimePoint Now, const Service &Of);
-  void formInitially(TimePoint Now, const Service &Of,
-                     const FabricDomainName &Fabric, Pool &Idle);
-  void formFromReserves(TimePoint Now, const Service &Of,
-                        const FabricDomainName &Fabric, Pool &Idle);
-  void keepReserves(TimePoint Now, const Service &Of, Pool &Idle);
+  void assignModels(TimePoint Now, const EngineSpec &Spec, const Domains &All);
+  [[nodiscard]] const ModelSpec *
+  chooseModel(const EngineSpec &Spec, const Domains &All,
+              const FabricDomainName &Fabric) const;
+  void formInDomain(TimePoint Now, const Service &Of, const ModelSpec &Model,
+                    const FabricDomainName &Fabric, Domain &Its);
+  void keepReserves(TimePoint Now, const Service &Of, Domains &All);
+  void makeReserve(TimePoint Now, const Service &Of, const ModelName &Model,
+                   const EngineRecord &Engine);
   void releaseStrays(TimePoint Now);
   void create(TimePoint Now, const Service &Of, const ModelSpec &Model,
               const FabricDomainName &Fabric,
-              std::vector<const EngineRecord *> Members);
-  [[nodiscard]] std::map<ModelName, double> enginesByModel() const;
-  [[nodiscard]] std::vector<int>
-  chooseCounts(const EngineSpec &Spec, int Engines,
-               const std::map<ModelName, double> &Serving) const;
+              std::span<const EngineRecord *const> Members);
+  [[nodiscard]] int loading() const;
+  [[nodiscard]] Duration joinTime(const ModelSpec &Model,
+                                  std::span<const EndpointName> Members) const;
 
   [[nodiscard]] bool isUsable(const EndpointName &Id) const;
+  [[nodiscard]] bool isDistrusted(const EndpointName &Id) const {
+    return this->DistrustedUntil.contains(Id);
+  }
   [[nodiscard]] bool isLeaving(const EndpointName &Id) const;
   [[nodiscard]] const GroupMembership *
   membership(const EndpointName &Id, const PlannedGroup &Group) const;
@@ -181,11 +201,16 @@
   const EngineRegister &Engines;
   FencingNumber Fence = 0;
   std::uint64_t LastEpoch = 0;
+  bool TrafficBegan = false;
   std::uint64_t Revision = 0;
   std::map<GroupName, PlannedGroup> Groups;
   /// Reserves: a group of one engine each, never opened. By engine.
   std::map<EndpointName, PlannedGroup> Reserves;
   std::map<EndpointName, TimePoint> Lost;
+  /// Engines that failed to join, until they are tried again.
+  std::map<EndpointName, TimePoint> DistrustedUntil;
+  /// The model that each domain serves.
+  std::map<FabricDomainName, ModelName> Assigned;
   /// The last order to each engine.
   std::map<EndpointName, SentOrder> Sent;
   /// Model of the last group that each engine of a life joined.
--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -59,7 +59,7 @@
     if (Record.Report.Fabric != Group.Fabric ||
         Record.Report.Service != Group.Service || Taken.contains(Id) ||
         !this->isUsable(Id) || !this->holds(Record, Group.Model) ||
-        this->isBound(Record, Group.Name))
+        this->isBound(Record, Group.Name) || this->isDistrusted(Id))
       continue;
     bool InMemory = this->modelInMemory(Record) == Group.Model;
     if (Best == nullptr ||
@@ -69,23 +69,24 @@
   return Best == nullptr ? std::nullopt : std::optional(Best->Report.Id);
 }
 
-std::map<FabricDomainName, FormationPlanner::Pool>
-FormationPlanner::pools(const Service &Of) const {
+FormationPlanner::Domains FormationPlanner::domains(const Service &Of) const {
   std::set<EndpointName> Taken = this->taken();
-  std::map<FabricDomainName, Pool> Pools;
+  Domains All;
   for (const auto &[Id, Record] : this->Engines.all()) {
     if (Record.Report.Service != Of.Name || !this->isUsable(Id))
       continue;
-    Pool &Its = Pools[Record.Report.Fabric];
+    Domain &Its = All[Record.Report.Fabric];
+    Its.Place = Record.Report.FailureDomain;
     ++Its.Engines;
     Its.NewestAt = std::max(Its.NewestAt, Record.FirstHeardAt);
-    if (!Taken.contains(Id) && !this->isBound(Record, {}))
+    if (!Taken.contains(Id) && !this->isBound(Record, {}) &&
+        !this->isDistrusted(Id))
       Its.Free.push_back(&Record);
   }
   for (const auto &[Name, Group] : this->Groups)
     if (Group.Service == Of.Name && Group.Phase != GroupPhase::Dissolving)
-      ++Pools[Group.Fabric].Groups[Group.Model];
-  return Pools;
+      ++All[Group.Fabric].Groups;
+  return All;
 }
 
 /// Engines that report a group which doesn't list them: one that was given up
@@ -107,91 +108,12 @@
                       .Epoch = Member->Epoch,
                       .Members = {Id},
                       .Phase = GroupPhase::Dissolving,
-                      .Since = Now};
+                      .Since = Now,
+                      .ReadyBy = Now};
     this->order(Now, Id, OrderVerb::Leave, Left);
   }
 }
 
-/// Engines in groups by model; groups that are being dissolved left out.
-std::map<ModelName, double> FormationPlanner::enginesByModel() const {
-  std::map<ModelName, double> Engines;
-  for (const auto &[Name, Group] : this->Groups)
-    if (Group.Phase != GroupPhase::Dissolving)
-      Engines[Group.Model] += static_cast<double>(Group.Members.size());
-  return Engines;
-}
-
-namespace {
-
-/// Searches the numbers of groups of each model that suit one domain best:
-/// the model that is served worst for its share of the work decides, then the
-/// engines left in reserve.
-class CountSearch {
-public:
-  CountSearch(const EngineSpec &Spec, int Engines, int LeastReserves,
-              const std::map<ModelName, double> &Serving)
-      : Spec(Spec), Spare(Engines - LeastReserves), Serving(Serving),
-        Counts(Spec.Models.size(), 0), Best(Counts) {}
-
-  std::vector<int> run() {
-    this->tryFrom(0, this->Spare);
-    return this->Best;
-  }
-
-private:
-  void tryFrom(std::size_t Model, int Left) {
-    if (Model == this->Spec.Models.size())
-      return this->consider(Left);
-    int Size = this->Spec.Models[Model].GroupSize;
-    for (int Count = 0; Count * Size <= Left; ++Count) {
-      this->Counts[Model] = Count;
-      this->tryFrom(Model + 1, Left - Count * Size);
-    }
-    this->Counts[Model] = 0;
-  }
-
-  void consider(int Left) {
-    // Serving time lost to queues falls with the square of what serves.
-    double Cost = 0;
-    for (std::size_t I = 0; I < this->Counts.size(); ++I) {
-      const ModelSpec &Model = this->Spec.Models[I];
-      auto Found = this->Serving.find(Model.Name);
-      double Serving =
-          (Found == this->Serving.end() ? 0 : Found->second) +
-          static_cast<double>(this->Counts[I] * Model.GroupSize);
-      double Share = std::max(Model.InitialShare, LeastShare);
-      Cost += Share * Share / std::max(Serving, NothingServes);
-    }
-    if (Cost < this->BestCost - 1e-12 ||
-        (Cost <= this->BestCost && Left > this->BestLeft)) {
-      this->BestCost = Cost;
-      this->BestLeft = Left;
-      this->Best = this->Counts;
-    }
-  }
-
-  /// A model without a stated share still needs a group.
-  static constexpr double LeastShare = 0.05;
-  /// Stands for no engine at all, so that a first group beats any other.
-  static constexpr double NothingServes = 0.01;
-
-  const EngineSpec &Spec;
-  int Spare;
-  const std::map<ModelName, double> &Serving;
-  std::vector<int> Counts;
-  std::vector<int> Best;
-  double BestCost = std::numeric_limits<double>::infinity();
-  int BestLeft = -1;
-};
-
-} // namespace
-
-std::vector<int>
-FormationPlanner::chooseCounts(const EngineSpec &Spec, int Engines,
-                               const std::map<ModelName, double> &Serving) const {
-  return CountSearch(Spec, Engines, this->Options.LeastReserves, Serving).run();
-}
-
 std::map<ModelName, FormationPlanner::Census> FormationPlanner::census() const {
   std::map<ModelName, Census> Counts;
   for (const auto &[Name, Group] : this->Groups) {
@@ -223,22 +145,111 @@
   return Counts;
 }
 
-void FormationPlanner::formGroups(TimePoint Now, const Service &Of) {
-  for (auto &[Fabric, Idle] : this->pools(Of)) {
-    if (Idle.Free.empty() || Now - Idle.NewestAt < this->Options.Settle)
+/// Engines of a domain that groups of \p Model can use.
+static double servingEngines(const ModelSpec &Model, int Engines) {
+  return static_cast<double>(Engines / Model.GroupSize * Model.GroupSize);
+}
+
+/// The model that is served worst for its share of the work, and that the
+/// domain is large enough for.
+const ModelSpec *
+FormationPlanner::chooseModel(const EngineSpec &Spec, const Domains &All,
+                              const FabricDomainName &Fabric) const {
+  const Domain &Its = All.at(Fabric);
+  std::map<ModelName, double> Serving;
+  std::set<ModelName> Here;
+  for (const auto &[Other, Model] : this->Assigned) {
+    auto Found = All.find(Other);
+    const ModelSpec *Its = Spec.model(Model);
+    if (Found == All.end() || Its == nullptr || Other == Fabric)
+      continue;
+    Serving[Model] += servingEngines(*Its, Found->second.Engines);
+    if (Found->second.Place == All.at(Fabric).Place)
+      Here.insert(Model);
+  }
+  /// Tells models apart that nothing serves yet.
+  static constexpr double NothingServes = 0.01;
+  /// A model without a stated share still needs a domain.
+  static constexpr double LeastShare = 0.05;
+  const ModelSpec *Best = nullptr;
+  double Least = std::numeric_limits<double>::infinity();
+  for (const ModelSpec &Model : Spec.Models) {
+    if (Its.Engines < Model.GroupSize)
       continue;
-    if (Idle.Groups.empty())
-      this->formInitially(Now, Of, Fabric, Idle);
-    else
-      this->formFromReserves(Now, Of, Fabric, Idle);
-    this->keepReserves(Now, Of, Idle);
+    double Ratio = (Serving[Model.Name] + NothingServes) /
+                   std::max(Model.InitialShare, LeastShare);
+    if (Here.contains(Model.Name))
+      Ratio *= this->Options.SameModelPenalty;
+    if (Ratio < Least) {
+      Least = Ratio;
+      Best = &Model;
+    }
   }
+  return Best;
+}
+
+/// Gives each domain without a model one. Failure domains take turns, so that
+/// each gets all models.
+void FormationPlanner::assignModels(TimePoint Now, const EngineSpec &Spec,
+                                    const Domains &All) {
+  std::map<FailureDomainName, std::vector<FabricDomainName>> Waiting;
+  TimePoint Newest;
+  for (const auto &[Fabric, Its] : All) {
+    const auto Found = this->Assigned.find(Fabric);
+    const ModelSpec *Model =
+        Found == this->Assigned.end() ? nullptr : Spec.model(Found->second);
+    bool Serves = Model != nullptr &&
+                  (Its.Groups > 0 || Its.Engines >= Model->GroupSize);
+    if (Serves)
+      continue;
+    Waiting[Its.Place].push_back(Fabric);
+    Newest = std::max(Newest, Its.NewestAt);
+  }
+  if (Now - Newest < this->Options.Settle)
+    return;
+  for (std::size_t Turn = 0; !Waiting.empty(); ++Turn) {
+    for (const auto &[Place, Fabrics] : Waiting) {
+      if (Turn >= Fabrics.size())
+        continue;
+      const ModelSpec *Model = this->chooseModel(Spec, All, Fabrics[Turn]);
+      if (Model != nullptr)
+        this->Assigned[Fabrics[Turn]] = Model->Name;
+    }
+    std::erase_if(Waiting, [&](const auto &Entry) {
+      return Turn + 1 >= Entry.second.size();
+    });
+  }
+}
+
+void FormationPlanner::formGroups(TimePoint Now, const Service &Of) {
+  Domains All = this->domains(Of);
+  this->assignModels(Now, *Of.Engine, All);
+  for (auto &[Fabric, Its] : All) {
+    auto Model = this->Assigned.find(Fabric);
+    if (Model != this->Assigned.end() &&
+        Now - Its.NewestAt >= this->Options.Settle)
+      this->formInDomain(Now, Of, *Of.Engine->model(Model->second), Fabric,
+                         Its);
+  }
+  this->keepReserves(Now, Of, All);
+}
+
+Duration
+FormationPlanner::joinTime(const ModelSpec &Model,
+                           std::span<const EndpointName> Members) const {
+  bool AllHold = std::ranges::all_of(Members, [&](const EndpointName &Id) {
+    const EngineRecord *Record = this->Engines.find(Id);
+    return Record != nullptr && this->holds(*Record, Model.Name);
+  });
+  // Beyond the concurrent loads of the store each takes longer.
+  return (AllHold ? Model.StagedJoinTime : 2 * Model.LoadTime) +
+         this->Options.JoinMargin;
 }
 
 void FormationPlanner::create(TimePoint Now, const Service &Of,
                               const ModelSpec &Model,
                               const FabricDomainName &Fabric,
-                              std::vector<const EngineRecord *> Members) {
+                              std::span<const EngineRecord *const> Members) {
   std::uint64_t Epoch = this->nextEpoch();
   PlannedGroup Group{.Name = servingGroupName(Model.Name, Epoch),
                      .Service = Of.Name,
@@ -247,66 +258,125 @@
                      .Epoch = Epoch,
                      .Members = {},
                      .Phase = GroupPhase::Joining,
-                     .Since = Now};
+                     .Since = Now,
+                     .ReadyBy = Now};
   for (const EngineRecord *Member : Members) {
     Group.Members.push_back(Member->Report.Id);
     this->Reserves.erase(Member->Report.Id);
   }
+  Group.ReadyBy += this->joinTime(Model, Group.Members);
   ++this->Revision;
   PlannedGroup &Added = this->Groups[Group.Name] = std::move(Group);
   this->advanceJoining(Now, Of, Added);
 }
 
-/// A domain without a group: all its engines are divided at once.
-void FormationPlanner::formInitially(TimePoint Now, const Service &Of,
-                                     const FabricDomainName &Fabric,
-                                     Pool &Idle) {
-  const EngineSpec &Spec = *Of.Engine;
-  std::vector<int> Counts =
-      this->chooseCounts(Spec, static_cast<int>(Idle.Free.size()),
-                         this->enginesByModel());
-  for (std::size_t I = 0; I < Counts.size(); ++I)
-    for (int Made = 0; Made < Counts[I]; ++Made) {
-      const ModelSpec &Model = Spec.Models[I];
-      // Engines that hold the model first.
-      std::ranges::stable_partition(Idle.Free, [&](const EngineRecord *Each) {
-        return this->holds(*Each, Model.Name);
-      });
-      std::vector<const EngineRecord *> Members(
-          Idle.Free.begin(), Idle.Free.begin() + Model.GroupSize);
-      Idle.Free.erase(Idle.Free.begin(), Idle.Free.begin() + Model.GroupSize);
-      this->create(Now, Of, Model, Fabric, std::move(Members));
-      ++Idle.Groups[Model.Name];
-    }
+/// Forms as many groups as the free engines that hold the model allow. A
+/// domain in which none holds it yet begins with loads.
+void FormationPlanner::formInDomain(TimePoint Now, const Service &Of,
+                                    const ModelSpec &Model,
+                                    const FabricDomainName &Fabric,
+                                    Domain &Its) {
+  auto Size = static_cast<std::size_t>(Model.GroupSize);
+  std::vector<const EngineRecord *> Holders;
+  for (const EngineRecord *Each : Its.Free)
+    if (this->holds(*Each, Model.Name))
+      Holders.push_back(Each);
+  bool Untouched = Its.Groups == 0 &&
+                   std::ranges::none_of(Its.Free, [&](const auto *Each) {
+                     return !Each->Report.Staged.empty() ||
+                            this->Reserves.contains(Each->Report.Id);
+                   });
+  // Before service begins loads are quick; later, reserves load first.
+  if (Untouched && !this->TrafficBegan)
+    Holders = Its.Free;
+  std::size_t Used = 0;
+  for (; Used + Size <= Holders.size(); Used += Size)
+    this->create(Now, Of, Model, Fabric,
+                 std::span(Holders).subspan(Used, Size));
+  Holders.resize(Used);
+  std::erase_if(Its.Free, [&](const EngineRecord *Each) {
+    return std::ranges::find(Holders, Each) != Holders.end();
+  });
+  Its.Groups += static_cast<int>(Used / Size);
+}
+
+/// Loads from the weight store that are under way.
+int FormationPlanner::loading() const {
+  int Count = 0;
+  for (const auto &[Id, Reserve] : this->Reserves) {
+    const EngineRecord *Record = this->Engines.find(Id);
+    if (Record != nullptr && this->isUsable(Id) &&
+        !this->holds(*Record, Reserve.Model))
+      ++Count;
+  }
+  return Count;
 }
 
-/// A domain with groups: another one where enough reserves hold its model.
-void FormationPlanner::formFromReserves(TimePoint Now, const Service &Of,
-                                        const FabricDomainName &Fabric,
-                                        Pool &Idle) {
+void FormationPlanner::makeReserve(TimePoint Now, const Service &Of,
+                                   const ModelName &Model,
+                                   const EngineRecord &Engine) {
+  std::uint64_t Epoch = this->nextEpoch();
+  PlannedGroup Reserve{.Name = reserveGroupName(Model, Epoch),
+                       .Service = Of.Name,
+                       .Model = Model,
+                       .Fabric = Engine.Report.Fabric,
+                       .Epoch = Epoch,
+                       .Members = {Engine.Report.Id},
+                       .Phase = GroupPhase::Joining,
+                       .Since = Now,
+                       .ReadyBy = Now};
+  this->order(Now, Engine.Report.Id, OrderVerb::Join, Reserve);
+  this->Reserves[Engine.Report.Id] = std::move(Reserve);
+}
+
+/// Lets the engines outside groups hold the model of their domain. Of those
+/// that must load it, the ones that complete a group soonest come first.
+void FormationPlanner::keepReserves(TimePoint Now, const Service &Of,
+                                    Domains &All) {
   const EngineSpec &Spec = *Of.Engine;
-  std::vector<const ModelSpec *> Order;
-  for (const ModelSpec &Model : Spec.Models)
-    Order.push_back(&Model);
-  std::map<ModelName, double> Serving = this->enginesByModel();
-  std::ranges::sort(Order, {}, [&](const ModelSpec *Model) {
-    return Serving[Model->Name] / std::max(Model->InitialShare, 0.01);
+  std::erase_if(this->Reserves, [&](const auto &Entry) {
+    return this->Engines.find(Entry.first) == nullptr ||
+           (this->membership(Entry.first, Entry.second) == nullptr &&
+            Now - Entry.second.Since > this->Options.RepeatAfter);
   });
-  for (const ModelSpec *Model : Order) {
-    std::vector<const EngineRecord *> Holders;
-    for (const EngineRecord *Each : Idle.Free)
-      if (this->holds(*Each, Model->Name))
-        Holders.push_back(Each);
-    auto Size = static_cast<std::size_t>(Model->GroupSize);
-    auto Reserve = static_cast<std::size_t>(this->Options.LeastReserves);
-    if (Holders.size() < Size || Idle.Free.size() < Size + Reserve)
+  struct Candidate {
+    const EngineRecord *Engine;
+    const ModelSpec *Model;
+    /// Engines that the next group of the domain lacks.
+    int Missing;
+  };
+  std::vector<Candidate> ToLoad;
+  for (auto &[Fabric, Its] : All) {
+    auto Found = this->Assigned.find(Fabric);
+    const ModelSpec *Model =
+        Found == this->Assigned.end() ? nullptr : Spec.model(Found->second);
+    if (Model == nullptr)
       continue;
-    Holders.resize(Size);
-    std::erase_if(Idle.Free, [&](const EngineRecord *Each) {
-      return std::ranges::find(Holders, Each) != Holders.end();
-    });
-    this->create(Now, Of, *Model, Fabric, std::move(Holders));
-    ++Idle.Groups[Model->Name];
+    int Held = 0;
+    std::vector<const EngineRecord *> Empty;
+    for (const EngineRecord *Each : Its.Free) {
+      auto Reserve = this->Reserves.find(Each->Report.Id);
+      bool Kept = Reserve != this->Reserves.end() &&
+                  Reserve->second.Model == Model->Name;
+      Held += Kept || this->holds(*Each, Model->Name) ? 1 : 0;
+      if (!Kept && this->holds(*Each, Model->Name))
+        this->makeReserve(Now, Of, Model->Name, *Each);
+      else if (!Kept)
+        Empty.push_back(Each);
+    }
+    int Missing = Model->GroupSize - Held % Model->GroupSize;
+    for (const EngineRecord *Each : Empty)
+      ToLoad.push_back({.Engine = Each, .Model = Model, .Missing = Missing--});
+  }
+  std::ranges::stable_sort(ToLoad, {}, &Candidate::Missing);
+  int Under = this->loading();
+  for (const Candidate &Next : ToLoad) {
+    // Before service begins loads are quick and not limited.
+    if (this->TrafficBegan && (Under >= Spec.ConcurrentLoads ||
+                               !this->takeLoad(Now, Spec)))
+      break;
+    ++Under;
+    this->makeReserve(Now, Of, Next.Model->Name, *Next.Engine);
   }
 }
 
@@ -319,56 +389,4 @@
   return true;
 }
 
-/// Gives each reserve the model whose groups in the domain have the fewest
-/// reserves for their size. What an engine holds already is kept.
-void FormationPlanner::keepReserves(TimePoint Now, const Service &Of,
-                                    Pool &Idle) {
-  const EngineSpec &Spec = *Of.Engine;
-  std::map<ModelName, int> Kept;
-  std::vector<const EngineRecord *> Empty;
-  for (const EngineRecord *Each : Idle.Free) {
-    auto Reserve = this->Reserves.find(Each->Report.Id);
-    if (Reserve != this->Reserves.end() &&
-        this->membership(Each->Report.Id, Reserve->second) == nullptr &&
-        Now - Reserve->second.Since > this->Options.RepeatAfter)
-      this->Reserves.erase(Reserve);
-    Reserve = this->Reserves.find(Each->Report.Id);
-    if (Reserve != this->Reserves.end())
-      ++Kept[Reserve->second.Model];
-    else
-      Empty.push_back(Each);
-  }
-  for (const EngineRecord *Each : Empty) {
-    const ModelSpec *Chosen = nullptr;
-    double Least = std::numeric_limits<double>::infinity();
-    for (const ModelSpec &Model : Spec.Models) {
-      double Members = 0.5 + Idle.Groups[Model.Name] * Model.GroupSize;
-      double Cover = (Kept[Model.Name] + 0.5) / Members;
-      // A load takes long; what is at hand is worth several reserves.
-      if (this->holds(*Each, Model.Name))
-        Cover /= 4;
-      if (Cover < Least) {
-        Least = Cover;
-        Chosen = &Model;
-      }
-    }
-    if (Chosen == nullptr)
-      continue;
-    if (!this->holds(*Each, Chosen->Name) && !this->takeLoad(Now, Spec))
-      continue;
-    ++Kept[Chosen->Name];
-    std::uint64_t Epoch = this->nextEpoch();
-    PlannedGroup Reserve{.Name = reserveGroupName(Chosen->Name, Epoch),
-                         .Service = Of.Name,
-                         .Model = Chosen->Name,
-                         .Fabric = Each->Report.Fabric,
-                         .Epoch = Epoch,
-                         .Members = {Each->Report.Id},
-                         .Phase = GroupPhase::Joining,
-                         .Since = Now};
-    this->order(Now, Each->Report.Id, OrderVerb::Join, Reserve);
-    this->Reserves[Each->Report.Id] = std::move(Reserve);
-  }
-}
-
 } // namespace carobhinge
--- a/Libraries/LibFormation/LossWatch.cpp
+++ b/Libraries/LibFormation/LossWatch.cpp
@@ -21,6 +21,10 @@
   if (!Record.Report.Group)
     return false;
   auto Found = this->Flow.find(Record.Report.Group->Group);
+  auto Silent = this->Silence.find(Record.Report.Group->Group);
+  if (Found != this->Flow.end() && Silent != this->Silence.end() &&
+      Silent->second > Found->second.At)
+    return false;
   // One that was replaced proves nothing by the group's going on without it.
   return Found != this->Flow.end() &&
          Found->second.Epoch == Record.Report.Group->Epoch &&
--- a/Libraries/LibFormation/LossWatch.h
+++ b/Libraries/LibFormation/LossWatch.h
@@ -30,8 +30,9 @@
   Duration AnswerTimeout = std::chrono::milliseconds(350);
   /// An engine that has answered isn't asked again for this long.
   Duration AskAgain = std::chrono::milliseconds(600);
-  /// A group from which an event came less than this ago has all its members.
-  Duration FlowAge = std::chrono::milliseconds(400);
+  /// A group from which an event came less than this ago, and none was missed
+  /// since, has all its members. Entry hosts tell twice a second.
+  Duration FlowAge = std::chrono::milliseconds(1000);
 };
 
 class LossWatch {
