LibEntry, LibFormation: Resume in full groups, fill groups to 88 percent

Ruled out: reading as the bottleneck (at 26 writers the formulas give passes of about 100 ms). Change: requests that were admitted may go to full groups; new ones only up to 88 % of the slots; loads are told four times a second; engines count as free only when heard 0.8 s after a change of leader.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -128,7 +128,8 @@
     if (this->Attempts >= MostAttempts)
       co_return co_await this->giveUp("too many attempts");
     DispatchChoice Choice = this->Shared.State.Board.choose(
-        monotonicNow(), this->Target, this->Call.Model, this->Tried);
+        monotonicNow(), this->Target, this->Call.Model, this->Tried,
+        this->MayHaveRun);
     if (!Choice.Where)
       co_return co_await this->giveUp(Choice.Full ? "all places are full"
                                                   : "no place");
--- a/Libraries/LibEntry/ControlFollower.cpp
+++ b/Libraries/LibEntry/ControlFollower.cpp
@@ -21,7 +21,10 @@
 static constexpr auto SearchPause = std::chrono::milliseconds(80);
 /// Between two questions whether the state is the newest: several fit into
 /// the time for which an answer counts.
-static constexpr auto PulseInterval = std::chrono::milliseconds(500);
+static constexpr auto PulseInterval = std::chrono::milliseconds(250);
+/// With many entry hosts each asks less often, so that the leader answers a
+/// bounded number in a second.
+static constexpr auto PulsePerHost = std::chrono::milliseconds(6);
 static constexpr auto PulseTimeout = std::chrono::milliseconds(1200);
 /// How long a link may take to be made before another host is tried.
 static constexpr auto LinkPatience = std::chrono::milliseconds(300);
@@ -203,7 +206,8 @@
     if (this->Following)
       asio::co_spawn(this->Context, this->pulse(), asio::detached);
     this->PulseDue.reset();
-    co_await this->PulseDue.wait(PulseInterval);
+    co_await this->PulseDue.wait(std::max<Duration>(
+        PulseInterval, this->State.EntryHosts * PulsePerHost));
   }
 }
 
--- a/Libraries/LibEntry/DispatchBoard.cpp
+++ b/Libraries/LibEntry/DispatchBoard.cpp
@@ -87,7 +87,8 @@
 /// A group beyond its slots makes all wait; a plain endpoint queues a few.
 bool DispatchBoard::isFull(const Known &Candidate) const {
   double Most = Candidate.Is.Slots *
-                (Candidate.Is.Model.empty() ? this->Options.PlainQueue : 1);
+                (Candidate.Is.Model.empty() ? this->Options.PlainQueue
+                                            : this->Options.GroupFill);
   return Candidate.InFlight + Candidate.Others >= Most;
 }
 
@@ -106,7 +107,8 @@
 
 DispatchChoice DispatchBoard::choose(TimePoint Now, const ServiceName &Service,
                                      const ModelName &Model,
-                                     std::span<const PlaceName> Avoid) {
+                                     std::span<const PlaceName> Avoid,
+                                     bool EvenFull) {
   std::vector<Known *> Rested;
   std::vector<Known *> Resting;
   DispatchChoice Choice;
@@ -116,7 +118,7 @@
         !this->mayTake(Now, Entry) ||
         std::ranges::find(Avoid, Name) != Avoid.end())
       continue;
-    if (this->isFull(Entry))
+    if (!EvenFull && this->isFull(Entry))
       Choice.Full = true;
     else
       (Now < Entry.RestUntil ? Resting : Rested).push_back(&Entry);
--- a/Libraries/LibEntry/DispatchBoard.h
+++ b/Libraries/LibEntry/DispatchBoard.h
@@ -64,8 +64,11 @@
   /// has to be better by; bytes between domains are priced.
   double DomainPreference = 0.04;
   FailureDomainName FailureDomain;
-  /// Requests in progress for each slot of a plain endpoint up to which it is
-  /// given more; it queues a few.
+  /// Requests in progress for each slot of a group up to which it is given
+  /// more. What others sent since they told may fill the rest; beyond the
+  /// slots a request waits for one to end.
+  double GroupFill = 0.88;
+  /// The same for a plain endpoint, which queues a few.
   double PlainQueue = 3;
   /// Entry hosts that send to one cold endpoint at a time.
   int ColdSenders = 12;
@@ -127,10 +130,10 @@
 
   /// A place that may take a request now. Of two drawn by lot the better one:
   /// what others send is known late, and entry hosts that all took the best
-  /// place would meet there.
+  /// place would meet there. \p EvenFull: for requests that were admitted.
   [[nodiscard]] DispatchChoice
   choose(TimePoint Now, const ServiceName &Service, const ModelName &Model,
-         std::span<const PlaceName> Avoid);
+         std::span<const PlaceName> Avoid, bool EvenFull = false);
 
   AttemptNumber begin(TimePoint Now, const PlaceName &Name, bool Streams);
   /// The attempt got its first bytes, or a further event.
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -17,6 +17,9 @@
 void FormationPlanner::lead(TimePoint Now, FencingNumber Fence,
                             const Catalog &InForce) {
   assert(Fence >= this->Fence && "Fences grow from leader to leader");
+  // The very first leader follows nobody.
+  this->LeadingSince =
+      this->Engines.all().empty() ? TimePoint() : Now + this->Options.HandOver;
   this->Fence = Fence;
   // The fence in the upper bits makes epochs grow from leader to leader.
   this->LastEpoch = Fence << 20U;
@@ -107,6 +110,12 @@
          !this->Lost.contains(Id);
 }
 
+/// Whether the engine isn't to be taken into a group for now.
+bool FormationPlanner::isDistrusted(const EngineRecord &Record) const {
+  return this->DistrustedUntil.contains(Record.Report.Id) ||
+         Record.HeardAt < this->LeadingSince;
+}
+
 /// What the engine reports of its place in the newest list of \p Group.
 const GroupMembership *
 FormationPlanner::membership(const EndpointName &Id,
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -44,6 +44,9 @@
   Duration RepeatAfter = std::chrono::milliseconds(700);
   /// How long a group whose member leaves goes on with what it has.
   Duration FinishTime = std::chrono::milliseconds(1900);
+  /// After a change of leader only engines that were heard later than this are
+  /// used: until then an order of the leader before may have reached them.
+  Duration HandOver = std::chrono::milliseconds(800);
   /// Beyond the announced times before a member that isn't ready counts as
   /// faulty, and how long it isn't used then.
   Duration JoinMargin = std::chrono::seconds(2);
@@ -176,9 +179,7 @@
                                   std::span<const EndpointName> Members) const;
 
   [[nodiscard]] bool isUsable(const EndpointName &Id) const;
-  [[nodiscard]] bool isDistrusted(const EndpointName &Id) const {
-    return this->DistrustedUntil.contains(Id);
-  }
+  [[nodiscard]] bool isDistrusted(const EngineRecord &Record) const;
   [[nodiscard]] bool isLeaving(const EndpointName &Id) const;
   [[nodiscard]] const GroupMembership *
   membership(const EndpointName &Id, const PlannedGroup &Group) const;
@@ -201,6 +202,7 @@
   const EngineRegister &Engines;
   FencingNumber Fence = 0;
   std::uint64_t LastEpoch = 0;
+  TimePoint LeadingSince;
   bool TrafficBegan = false;
   std::uint64_t Revision = 0;
   std::map<GroupName, PlannedGroup> Groups;
--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -59,7 +59,7 @@
     if (Record.Report.Fabric != Group.Fabric ||
         Record.Report.Service != Group.Service || Taken.contains(Id) ||
         !this->isUsable(Id) || !this->holds(Record, Group.Model) ||
-        this->isBound(Record, Group.Name) || this->isDistrusted(Id))
+        this->isBound(Record, Group.Name) || this->isDistrusted(Record))
       continue;
     bool InMemory = this->modelInMemory(Record) == Group.Model;
     if (Best == nullptr ||
@@ -80,7 +80,7 @@
     ++Its.Engines;
     Its.NewestAt = std::max(Its.NewestAt, Record.FirstHeardAt);
     if (!Taken.contains(Id) && !this->isBound(Record, {}) &&
-        !this->isDistrusted(Id))
+        !this->isDistrusted(Record))
       Its.Free.push_back(&Record);
   }
   for (const auto &[Name, Group] : this->Groups)
