LibEntry, LibFormation: Tell of silence at 260 ms, send nothing to suspects

Cause: for about 0.8 s after a member of a group was lost, entry hosts went on sending new requests to it (each sees only its own streams), and these waited 0.7 s before they moved. Ruled out: moving streams sooner than 450 ms (a pass with several long prompts takes as long). Change: an entry host tells of a silence after 260 ms; the leader asks the members at once, with 200 ms to answer, and meanwhile the group gets nothing new; a silence that was wrong is forgotten after a second.

--- a/Libraries/LibControl/ControlCalls.cpp
+++ b/Libraries/LibControl/ControlCalls.cpp
@@ -183,8 +183,7 @@
 asio::awaitable<bool> ControlProcess::tellLeader(message::RelayCall Call) {
   if (this->Foreman.leads()) {
     // Entry hosts are told with this very step.
-    if (this->Foreman.step(monotonicNow(), this->InForce))
-      this->Watchers.wake();
+    this->stepNow();
     co_return true;
   }
   LogStatus Status = this->State.status();
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -76,7 +76,8 @@
           [this](const message::RegisterState &Changed) {
             this->stateChanged(Changed);
           }),
-      Watchers(Context.get_executor(), this->State, this->Foreman, this->Hosts),
+      Watchers(Context.get_executor(), this->State, this->Foreman, this->Hosts,
+               [this] { this->stepNow(); }),
       Peers(Context.get_executor(),
             this->Own.Ip + ":" + std::to_string(this->Own.PeerPort), this->Wire,
             this->handlers()),
@@ -184,7 +185,12 @@
               {"endpoints", static_cast<std::int64_t>(
                                 this->Foreman.engines().all().size())}});
   }
-  if (this->Foreman.step(Now, this->InForce))
+  this->stepNow();
+}
+
+void ControlProcess::stepNow() {
+  if (this->Foreman.leads() &&
+      this->Foreman.step(monotonicNow(), this->InForce))
     this->Watchers.wake();
 }
 
--- a/Libraries/LibControl/EntryWatchers.cpp
+++ b/Libraries/LibControl/EntryWatchers.cpp
@@ -121,7 +121,8 @@
 asio::awaitable<void> EntryWatchers::pulse(WireExchange &Exchange) {
   Load Fresh{.Call = {}, .At = monotonicNow()};
   Fresh.Call.ParseFromString(Exchange.message());
-  this->Foreman.entryLoad(Fresh.At, Fresh.Call);
+  if (this->Foreman.entryLoad(Fresh.At, Fresh.Call))
+    this->OnSuspicion();
   HostName Caller = Exchange.caller();
   this->Loads[Caller] = std::move(Fresh);
   message::PulseResult Result;
--- a/Libraries/LibControl/EntryWatchers.h
+++ b/Libraries/LibControl/EntryWatchers.h
@@ -13,14 +13,17 @@
 #include <LibControl/ControlHosts.h>
 #include <LibControl/GroupForeman.h>
 #include <LibWire/WireServer.h>
+#include <functional>
 
 namespace carobhinge {
 
 class EntryWatchers {
 public:
   EntryWatchers(boost::asio::any_io_executor Executor, AgreedState &State,
-                GroupForeman &Foreman, ControlHosts &Hosts)
+                GroupForeman &Foreman, ControlHosts &Hosts,
+                std::function<void()> OnSuspicion)
       : Executor(Executor), State(State), Foreman(Foreman), Hosts(Hosts),
+        OnSuspicion(std::move(OnSuspicion)),
         Changed(std::make_shared<Signal>(Executor)) {}
 
   /// Something changed; every watcher looks.
@@ -57,6 +60,8 @@
   AgreedState &State;
   GroupForeman &Foreman;
   ControlHosts &Hosts;
+  /// An entry host waits for a place in vain.
+  std::function<void()> OnSuspicion;
   /// Fired and replaced at every change.
   std::shared_ptr<Signal> Changed;
   std::map<HostName, int> Watching;
--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -42,10 +42,12 @@
   return this->Engines.leave(Id);
 }
 
-void GroupForeman::entryLoad(TimePoint Now, const message::PulseCall &Call) {
+bool GroupForeman::entryLoad(TimePoint Now, const message::PulseCall &Call) {
   if (Call.loads_size() > 0)
     this->Planner.trafficBegan();
+  bool Suspicion = false;
   for (const message::PlaceLoadMessage &Load : Call.loads()) {
+    Suspicion = Suspicion || Load.silent();
     auto Place = this->Places.find(Load.place());
     if (Load.since_event_ms() >= 0 && Place != this->Places.end())
       this->Watch.flowed(
@@ -54,6 +56,7 @@
     if (Load.silent())
       this->Watch.silent(Now, Load.place());
   }
+  return Suspicion;
 }
 
 void GroupForeman::lead(TimePoint Now, FencingNumber Term,
@@ -169,7 +172,7 @@
   for (EngineOrder &Order : this->Planner.plan(Now, InForce))
     asio::co_spawn(this->Executor, this->giveOrder(std::move(Order)),
                    asio::detached);
-  return this->publish(this->derivePlaces(InForce));
+  return this->publish(this->derivePlaces(Now, InForce));
 }
 
 static PlaceMode modeOf(GroupPhase Phase) {
@@ -184,7 +187,7 @@
 }
 
 std::map<std::string, message::PlaceMessage>
-GroupForeman::derivePlaces(const Catalog &InForce) const {
+GroupForeman::derivePlaces(TimePoint Now, const Catalog &InForce) const {
   std::map<std::string, message::PlaceMessage> Fresh;
   auto Fill = [&](message::PlaceMessage &To, const EngineRecord &From) {
     To.set_endpoint(From.Report.Id);
@@ -199,6 +202,8 @@
     const Service *Of = InForce.service(Group.Service);
     const EngineRecord *Head = this->Engines.find(Group.head());
     PlaceMode Mode = modeOf(Group.Phase);
+    if (Mode == PlaceMode::Open && this->Watch.suspects(Now, Name))
+      Mode = PlaceMode::Finishing;
     if (Of == nullptr || !Of->Engine || Head == nullptr)
       continue;
     message::PlaceMessage &To = Fresh[Name];
--- a/Libraries/LibControl/GroupForeman.h
+++ b/Libraries/LibControl/GroupForeman.h
@@ -29,8 +29,9 @@
   /// Takes in a report. \returns whether it was news.
   bool report(TimePoint HeardAt, EngineReport Report);
   bool leave(const EndpointName &Id);
-  /// What an entry host has in progress and sees of each place.
-  void entryLoad(TimePoint Now, const message::PulseCall &Call);
+  /// What an entry host has in progress and sees of each place. \returns
+  /// whether it waits for one in vain; then the next step is due at once.
+  bool entryLoad(TimePoint Now, const message::PulseCall &Call);
 
   void lead(TimePoint Now, FencingNumber Term, const Catalog &InForce);
   void stopLeading() { this->Leading = false; }
@@ -57,7 +58,7 @@
   boost::asio::awaitable<void> askEngine(EndpointName Id, std::string Address);
   boost::asio::awaitable<void> giveOrder(EngineOrder Order);
   [[nodiscard]] std::map<std::string, message::PlaceMessage>
-  derivePlaces(const Catalog &InForce) const;
+  derivePlaces(TimePoint Now, const Catalog &InForce) const;
   bool publish(std::map<std::string, message::PlaceMessage> Fresh);
 
   boost::asio::any_io_executor Executor;
--- a/Libraries/LibEntry/DispatchBoard.cpp
+++ b/Libraries/LibEntry/DispatchBoard.cpp
@@ -56,7 +56,7 @@
 bool DispatchBoard::mayTake(TimePoint Now, const Known &Candidate) const {
   const Place &Is = Candidate.Is;
   if (Is.Mode != PlaceMode::Open || this->Emptied.contains(Is.FailureDomain) ||
-      Candidate.Silent)
+      this->isSilent(Now, Candidate))
     return false;
   return Now >= Is.ColdUntil || this->mayWarm(Now, Candidate);
 }
@@ -84,6 +84,11 @@
          Now >= Candidate.ColdNext;
 }
 
+bool DispatchBoard::isSilent(TimePoint Now, const Known &Where) const {
+  return Where.SilentSince &&
+         Now - *Where.SilentSince < this->Options.SilenceLasts;
+}
+
 /// A group beyond its slots makes all wait; a plain endpoint queues a few.
 bool DispatchBoard::isFull(const Known &Candidate) const {
   double Most = Candidate.Is.Slots *
@@ -163,7 +168,8 @@
   Its.Begun = true;
   Its.LastProgress = Now;
   Where.LastEvent = Now;
-  Where.Silent = false;
+  Where.SilentSince.reset();
+  Where.SuspiciousSince.reset();
   Where.FailuresInRow = 0;
 }
 
@@ -209,9 +215,16 @@
       Newest = std::max(Newest, *Where.LastEvent);
     Duration Limit = Its.Begun ? this->Options.SilentStream
                                : this->Options.SilentStart;
-    if (Now - Newest >= Limit)
-      Where.Silent = true;
-    if (Where.Silent || Where.Is.Mode == PlaceMode::Standing)
+    Duration Early = this->Options.SilentStream - this->Options.Suspicious;
+    bool Known = Where.SuspiciousSince &&
+                 Now - *Where.SuspiciousSince < this->Options.SilenceLasts;
+    if (Now - Newest >= Limit - Early && !Known) {
+      Where.SuspiciousSince = Now;
+      this->NewSuspicion = true;
+    }
+    if (Now - Newest >= Limit && !this->isSilent(Now, Where))
+      Where.SilentSince = Now;
+    if (this->isSilent(Now, Where) || Where.Is.Mode == PlaceMode::Standing)
       Standing.push_back(Number);
   }
   return Standing;
@@ -221,12 +234,14 @@
 DispatchBoard::loads(TimePoint Now) const {
   std::vector<PlaceLoad> Loads;
   for (const auto &[Name, Entry] : this->Places) {
-    if (Entry.InFlight == 0 && !Entry.Silent && !Entry.LastEvent)
+    bool Suspicious = Entry.SuspiciousSince &&
+                      Now - *Entry.SuspiciousSince < this->Options.SilenceLasts;
+    if (Entry.InFlight == 0 && !Suspicious && !Entry.LastEvent)
       continue;
     PlaceLoad Load{.Name = Name,
                    .InFlight = Entry.InFlight,
                    .SinceEvent = {},
-                   .Silent = Entry.Silent};
+                   .Silent = Suspicious};
     if (Entry.LastEvent)
       Load.SinceEvent = Now - *Entry.LastEvent;
     Loads.push_back(std::move(Load));
@@ -241,7 +256,7 @@
     if (Entry.Is.Service != Service || Entry.Is.Model != Model)
       continue;
     Sum.InFlight += Entry.InFlight + Entry.Others;
-    if (Entry.Is.Mode == PlaceMode::Open && !Entry.Silent)
+    if (Entry.Is.Mode == PlaceMode::Open && !Entry.SilentSince)
       Sum.Slots += Entry.Is.Slots;
   }
   return Sum;
--- a/Libraries/LibEntry/DispatchBoard.h
+++ b/Libraries/LibEntry/DispatchBoard.h
@@ -22,6 +22,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace carobhinge {
@@ -51,9 +52,15 @@
   /// event from the same place, is taken to stand still: a pass of a full
   /// group takes a tenth of it.
   Duration SilentStream = std::chrono::milliseconds(450);
+  /// After this long the control hosts are told, so that they ask the members
+  /// of the group: two to three passes of a busy group.
+  Duration Suspicious = std::chrono::milliseconds(260);
   /// The same for a stream that waits for its first event, which includes
   /// the wait for a slot and the reading of its prompt.
   Duration SilentStart = std::chrono::milliseconds(700);
+  /// A place that stood still is tried again after this time, unless the
+  /// control hosts have said otherwise by then.
+  Duration SilenceLasts = std::chrono::milliseconds(1000);
   /// How long a place is left alone after a connection failed, doubled with
   /// each failure in a row up to the second figure.
   Duration LeastRest = std::chrono::milliseconds(250);
@@ -140,6 +147,10 @@
   void progressed(TimePoint Now, AttemptNumber Attempt);
   void end(TimePoint Now, AttemptNumber Attempt, AttemptEnd How);
 
+  /// Whether a place has just become suspicious; the control hosts are to be
+  /// told at once.
+  bool takeSuspicion() { return std::exchange(this->NewSuspicion, false); }
+
   /// Attempts that are to be given up and repeated elsewhere, because their
   /// place stands still.
   [[nodiscard]] std::vector<AttemptNumber> findStanding(TimePoint Now);
@@ -174,7 +185,10 @@
     std::optional<TimePoint> LastEvent;
     TimePoint RestUntil = TimePoint::min();
     int FailuresInRow = 0;
-    bool Silent = false;
+    /// Since when it is taken to stand still, and since when it is suspicious;
+    /// an event ends both.
+    std::optional<TimePoint> SilentSince;
+    std::optional<TimePoint> SuspiciousSince;
     /// Cold endpoints: when the next request may be sent.
     TimePoint ColdNext = TimePoint::min();
   };
@@ -187,6 +201,7 @@
   };
 
   [[nodiscard]] bool mayTake(TimePoint Now, const Known &Candidate) const;
+  [[nodiscard]] bool isSilent(TimePoint Now, const Known &Where) const;
   [[nodiscard]] bool isFull(const Known &Candidate) const;
   [[nodiscard]] bool mayWarm(TimePoint Now, const Known &Candidate) const;
   [[nodiscard]] Duration coldPause(const ServiceName &Service) const;
@@ -202,6 +217,7 @@
   std::mt19937_64 Random;
   int Index = 0;
   int EntryHosts = 1;
+  bool NewSuspicion = false;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -12,7 +12,7 @@
 namespace carobhinge {
 
 /// Between two looks for places that stand still.
-static constexpr auto WatchInterval = std::chrono::milliseconds(100);
+static constexpr auto WatchInterval = std::chrono::milliseconds(60);
 /// A host is ready while its last confirmation is younger than this share of
 /// the time in which keys must stop working.
 static constexpr double ReadyShare = 0.55;
@@ -92,7 +92,7 @@
       if (Found != this->Shared.Abandon.end())
         Found->second();
     }
-    if (!Standing.empty())
+    if (this->State.Board.takeSuspicion() || !Standing.empty())
       this->Follower.pulseSoon();
   }
 }
--- a/Libraries/LibFormation/LossWatch.cpp
+++ b/Libraries/LibFormation/LossWatch.cpp
@@ -31,6 +31,15 @@
          Now - Found->second.At < this->Options.FlowAge;
 }
 
+bool LossWatch::suspects(TimePoint Now, const GroupName &Group) const {
+  auto Silent = this->Silence.find(Group);
+  if (Silent == this->Silence.end() ||
+      Now - Silent->second > this->Options.SuspectFor)
+    return false;
+  auto Found = this->Flow.find(Group);
+  return Found == this->Flow.end() || Found->second.At < Silent->second;
+}
+
 std::vector<EndpointName> LossWatch::toAsk(TimePoint Now) {
   std::vector<EndpointName> Ask;
   for (const auto &[Id, Record] : this->Engines.all()) {
--- a/Libraries/LibFormation/LossWatch.h
+++ b/Libraries/LibFormation/LossWatch.h
@@ -27,9 +27,12 @@
   Duration ReportMargin = std::chrono::milliseconds(400);
   /// Without an answer in this time the engine is taken for lost; one that
   /// lives answers within a few milliseconds.
-  Duration AnswerTimeout = std::chrono::milliseconds(350);
+  Duration AnswerTimeout = std::chrono::milliseconds(200);
   /// An engine that has answered isn't asked again for this long.
   Duration AskAgain = std::chrono::milliseconds(600);
+  /// A group that an entry host waits for is suspect for this long at most:
+  /// by then its members have answered or not.
+  Duration SuspectFor = std::chrono::milliseconds(700);
   /// A group from which an event came less than this ago, and none was missed
   /// since, has all its members. Entry hosts tell twice a second.
   Duration FlowAge = std::chrono::milliseconds(1000);
@@ -46,6 +49,10 @@
   /// An entry host waits for the group in vain.
   void silent(TimePoint Now, const GroupName &Group);
 
+  /// Whether an entry host waits for the group in vain, and none has had an
+  /// event from it since: it gets nothing new until that is settled.
+  [[nodiscard]] bool suspects(TimePoint Now, const GroupName &Group) const;
+
   /// The engines to be asked now. Each ends in answered() or unanswered().
   [[nodiscard]] std::vector<EndpointName> toAsk(TimePoint Now);
   void answered(TimePoint Now, const EndpointName &Id);
