Tests: Hold formation, loss evidence and reports to their rules

Engines that obey the published protocol on a hand-turned clock; the two rules that always hold are watched there.

--- a/Libraries/LibCatalog/Catalog.h
+++ b/Libraries/LibCatalog/Catalog.h
@@ -34,17 +34,17 @@
 
 /// A service that a route may choose, and how often.
 struct ServiceWeight {
-  ServiceName Service;
+  ServiceName Service = {};
   /// Share among the weights of the route; at least 0.
   double Weight = 1;
 };
 
 struct Route {
-  std::string Name;
+  std::string Name = {};
   /// The host that the request names; compared whole.
-  std::string Host;
+  std::string Host = {};
   /// Begins and ends with a slash; the longest that fits decides.
-  std::string Prefix;
+  std::string Prefix = {};
   RepeatRule Repeat = RepeatRule::NonIdempotent;
   /// How long a caller may be kept waiting for the whole answer.
   Duration Timeout{};
@@ -54,7 +54,7 @@
   Duration PauseObjective{};
   /// Rank, 0 first.
   int Priority = 0;
-  std::vector<ServiceWeight> Services;
+  std::vector<ServiceWeight> Services = {};
   /// Endpoints on which one attempt of a caller may run.
   int EndpointsPerRequest = 1;
   /// Whether a request needs no key.
@@ -71,7 +71,7 @@
 
 /// A model that is served by groups of engines.
 struct ModelSpec {
-  ModelName Name;
+  ModelName Name = {};
   /// Engines in one group.
   int GroupSize = 1;
   /// Share of the engines' work at the start, 0 to 1.
@@ -110,27 +110,27 @@
   int ConcurrentLoads = 1;
   /// From the order to open until a group serves.
   Duration OpenTime{};
-  std::vector<ModelSpec> Models;
+  std::vector<ModelSpec> Models = {};
 
   [[nodiscard]] const ModelSpec *model(std::string_view Name) const;
 };
 
 struct Service {
-  ServiceName Name;
-  std::string HealthPath;
+  ServiceName Name = {};
+  std::string HealthPath = {};
   /// Connections that one endpoint accepts from all callers together.
   int ConnectionsPerEndpoint = 0;
   /// Requests per second that a cold endpoint bears; 0: no limit.
   double ColdRequestsPerSecond = 0;
   /// Set where the service runs on model engines.
-  std::optional<EngineSpec> Engine;
+  std::optional<EngineSpec> Engine = {};
 };
 
 struct Workspace {
-  WorkspaceName Name;
-  std::vector<std::string> Keys;
+  WorkspaceName Name = {};
+  std::vector<std::string> Keys = {};
   /// Goes before the priority of the route.
-  std::optional<int> Priority;
+  std::optional<int> Priority = {};
 };
 
 /// What a caller may send, and how long it may take or stay idle.
@@ -144,11 +144,11 @@
 struct Catalog {
   /// Given by the operator; the highest one is in force.
   std::uint64_t Version = 0;
-  std::vector<Route> Routes;
-  std::vector<Service> Services;
+  std::vector<Route> Routes = {};
+  std::vector<Service> Services = {};
   /// Empty: no request needs a key.
-  std::vector<Workspace> Workspaces;
-  CallerLimits Limits;
+  std::vector<Workspace> Workspaces = {};
+  CallerLimits Limits = {};
 
   [[nodiscard]] const Service *service(std::string_view Name) const;
 };
--- a/Libraries/LibFormation/EngineReport.h
+++ b/Libraries/LibFormation/EngineReport.h
@@ -34,7 +34,7 @@
 };
 
 struct GroupMembership {
-  GroupName Group;
+  GroupName Group = {};
   /// Grows with every new list of members.
   std::uint64_t Epoch = 0;
   /// 0 is the head, to which requests are sent.
@@ -45,13 +45,13 @@
 };
 
 struct EngineReport {
-  EndpointName Id;
+  EndpointName Id = {};
   /// "IP:PORT" for requests and orders.
-  std::string Address;
-  ServiceName Service;
-  FailureDomainName FailureDomain;
+  std::string Address = {};
+  ServiceName Service = {};
+  FailureDomainName FailureDomain = {};
   /// Empty for plain services.
-  FabricDomainName Fabric;
+  FabricDomainName Fabric = {};
   /// Start of this life by the endpoint's own clock, Unix milliseconds.
   std::int64_t BornMs = 0;
   /// Grows with each heartbeat of a life.
@@ -61,8 +61,8 @@
   Duration ColdLeft{};
   int Slots = 1;
   /// Models whose weights the host holds ready.
-  std::vector<ModelName> Staged;
-  std::optional<GroupMembership> Group;
+  std::vector<ModelName> Staged = {};
+  std::optional<GroupMembership> Group = {};
 };
 
 } // namespace carobhinge
--- /dev/null
+++ b/Tests/LibFormation/FormationWorld.h
@@ -0,0 +1,81 @@
+//===- Tests/LibFormation/FormationWorld.h - Engines that take orders -----===//
+///
+/// \file
+/// Engines that carry out the planner's orders as the published protocol says,
+/// on a hand-turned clock: joins that take their time, heads that open, epochs
+/// and fences that refuse. Watches the two rules that must always hold: an
+/// engine joins another group only after it left the last one, and a group
+/// that opens has all its members ready.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef TESTS_LIBFORMATION_FORMATIONWORLD_H
+#define TESTS_LIBFORMATION_FORMATIONWORLD_H
+
+#include <LibFormation/FormationPlanner.h>
+#include <LibFormation/GroupNames.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace carobhinge {
+
+struct FakeEngine {
+  EngineReport Report;
+  bool Alive = true;
+  /// Orders don't reach it and its reports don't reach the control hosts.
+  bool CutOff = false;
+  ModelName InMemory;
+  TimePoint ReadyAt;
+  std::uint64_t HighestEpoch = 0;
+};
+
+class FormationWorld {
+public:
+  FormationWorld();
+
+  /// Adds \p Count engines to a fabric domain.
+  void add(const FailureDomainName &Place, const FabricDomainName &Fabric,
+           int Count);
+  /// Passes \p Time in steps of the leader's tick.
+  void run(Duration Time);
+  /// The engine falls silent for good.
+  void crash(const EndpointName &Id);
+  void cutOff(const EndpointName &Id, bool Off);
+  void loseOrder(std::function<bool(const EngineOrder &)> Lost) {
+    this->OrderLost = std::move(Lost);
+  }
+  /// Another control host takes over with a higher fence.
+  void changeLeader();
+  void carryOut(const EngineOrder &Order);
+
+  [[nodiscard]] int open(const ModelName &Model) const;
+  [[nodiscard]] int loading() const;
+  /// A member of an open group, the head left out.
+  [[nodiscard]] EndpointName someMember(const ModelName &Model) const;
+
+  Catalog InForce;
+  EngineRegister Register;
+  std::unique_ptr<FormationPlanner> Planner;
+  std::map<EndpointName, FakeEngine> Engines;
+  std::vector<EngineOrder> Orders;
+  /// What broke a rule; empty as it should be.
+  std::vector<std::string> Broken;
+  TimePoint Now{std::chrono::hours(1)};
+  FencingNumber Fence = 1;
+
+private:
+  void join(FakeEngine &Engine, const EngineOrder &Order);
+  void open(FakeEngine &Engine, const EngineOrder &Order);
+  void finishJoins();
+  void report(FakeEngine &Engine);
+
+  std::function<bool(const EngineOrder &)> OrderLost;
+  int LastEngine = 0;
+};
+
+} // namespace carobhinge
+
+#endif // TESTS_LIBFORMATION_FORMATIONWORLD_H
--- /dev/null
+++ b/Tests/LibFormation/TestFormationPlanner.cpp
@@ -0,0 +1,233 @@
+//===- Tests/LibFormation/TestFormationPlanner.cpp - Groups and repairs ---===//
+///
+/// \file
+/// Formation, repair and change of leader with engines that obey the protocol.
+///
+//===----------------------------------------------------------------------===//
+
+#include "FormationWorld.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+#include <random>
+#include <set>
+
+using namespace carobhinge;
+using std::chrono::seconds;
+
+/// Three failure domains with two fabric domains of nine engines each.
+static void fill(FormationWorld &World) {
+  for (const char *Place : {"a", "b", "c"})
+    for (const char *Fabric : {"1", "2"})
+      World.add(Place, std::string(Place) + Fabric, 9);
+}
+
+static void startService(FormationWorld &World) {
+  fill(World);
+  World.run(seconds(25));
+  World.Planner->trafficBegan();
+}
+
+TEST(FormationPlanner, EachFabricDomainServesOneModelAndEachFailureDomainBoth) {
+  FormationWorld World;
+  startService(World);
+  EXPECT_EQ(World.open("large"), 6);
+  EXPECT_EQ(World.open("small"), 9);
+  std::map<FabricDomainName, std::set<ModelName>> Models;
+  std::map<char, std::set<ModelName>> Places;
+  for (const auto &[Name, Group] : World.Planner->groups()) {
+    Models[Group.Fabric].insert(Group.Model);
+    Places[Group.Fabric.front()].insert(Group.Model);
+  }
+  for (const auto &[Fabric, Served] : Models)
+    EXPECT_EQ(Served.size(), 1U) << Fabric;
+  for (const auto &[Place, Served] : Places)
+    EXPECT_EQ(Served.size(), 2U) << Place;
+  EXPECT_TRUE(World.Broken.empty());
+}
+
+TEST(FormationPlanner, WaitsUntilNoEngineAppearedForAWhile) {
+  FormationWorld World;
+  World.add("a", "a1", 4);
+  World.run(std::chrono::milliseconds(500));
+  World.add("a", "a1", 5);
+  World.run(std::chrono::milliseconds(500));
+  EXPECT_TRUE(World.Orders.empty());
+  World.run(seconds(1));
+  EXPECT_FALSE(World.Orders.empty());
+}
+
+TEST(FormationPlanner, ALostMemberIsReplacedWithinASecondUnderTheSameName) {
+  FormationWorld World;
+  startService(World);
+  EndpointName Victim = World.someMember("large");
+  GroupName Name = World.Engines.at(Victim).Report.Group->Group;
+  std::uint64_t Epoch = World.Planner->groups().at(Name).Epoch;
+  World.crash(Victim);
+  World.run(seconds(1));
+  const PlannedGroup &Repaired = World.Planner->groups().at(Name);
+  EXPECT_EQ(Repaired.Phase, GroupPhase::Open);
+  EXPECT_GT(Repaired.Epoch, Epoch);
+  EXPECT_EQ(World.open("large"), 6);
+  EXPECT_TRUE(World.Broken.empty());
+}
+
+TEST(FormationPlanner, SurvivorsOfAGroupTakeTheNextLosses) {
+  FormationWorld World;
+  startService(World);
+  // The first loss in a domain of three full groups leaves two survivors.
+  World.crash(World.someMember("small"));
+  World.run(seconds(2));
+  EXPECT_EQ(World.open("small"), 8);
+  World.crash(World.someMember("small"));
+  World.run(seconds(2));
+  World.crash(World.someMember("small"));
+  World.run(seconds(2));
+  EXPECT_EQ(World.open("small"), 8);
+  EXPECT_TRUE(World.Broken.empty());
+}
+
+TEST(FormationPlanner, LoadsDuringServiceAreBounded) {
+  FormationWorld World;
+  startService(World);
+  World.add("a", "a1", 9);
+  World.add("b", "b1", 9);
+  int Most = 0;
+  for (int I = 0; I < 150; ++I) {
+    World.run(std::chrono::milliseconds(100));
+    Most = std::max(Most, World.loading());
+  }
+  EXPECT_GT(Most, 0);
+  EXPECT_LE(Most, 6);
+}
+
+TEST(FormationPlanner, AnEngineThatCameBackLeavesItsOldGroupFirst) {
+  FormationWorld World;
+  startService(World);
+  // The head of an open group is out of reach while its group is given up.
+  GroupName Name;
+  for (const auto &[Each, Group] : World.Planner->groups())
+    if (Group.Model == "small")
+      Name = Each;
+  EndpointName Head = World.Planner->groups().at(Name).head();
+  World.cutOff(Head, true);
+  World.run(seconds(3));
+  World.cutOff(Head, false);
+  World.run(seconds(5));
+  EXPECT_TRUE(World.Broken.empty()) << World.Broken.front();
+}
+
+TEST(FormationPlanner, ANewLeaderKeepsWhatServes) {
+  FormationWorld World;
+  startService(World);
+  std::size_t Before = World.Orders.size();
+  World.changeLeader();
+  World.run(std::chrono::milliseconds(200));
+  EXPECT_EQ(World.open("large"), 6);
+  EXPECT_EQ(World.open("small"), 9);
+  World.run(seconds(4));
+  for (std::size_t I = Before; I < World.Orders.size(); ++I)
+    EXPECT_TRUE(isReserveName(World.Orders[I].Group)) << World.Orders[I].Group;
+}
+
+TEST(FormationPlanner, ANewLeaderUsesNoEngineThatAnOldOrderMayReach) {
+  FormationWorld World;
+  startService(World);
+  // The last leader's order to a reserve is still on its way.
+  EngineOrder Late;
+  World.loseOrder([&](const EngineOrder &Order) {
+    if (Order.Verb == OrderVerb::Join && !isReserveName(Order.Group))
+      Late = Order;
+    return false;
+  });
+  World.crash(World.someMember("large"));
+  World.run(std::chrono::milliseconds(100));
+  World.changeLeader();
+  std::size_t Before = World.Orders.size();
+  World.run(std::chrono::milliseconds(700));
+  for (std::size_t I = Before; I < World.Orders.size(); ++I)
+    EXPECT_NE(World.Orders[I].Verb, OrderVerb::Join)
+        << "an engine was used that was not heard since the change";
+}
+
+TEST(FormationPlanner, AnOrderThatIsCarriedOutLateChangesNothing) {
+  FormationWorld World;
+  startService(World);
+  std::vector<EngineOrder> Old = World.Orders;
+  World.crash(World.someMember("large"));
+  World.run(seconds(3));
+  for (const EngineOrder &Order : Old)
+    if (!isReserveName(Order.Group))
+      World.carryOut(Order);
+  World.run(seconds(3));
+  EXPECT_EQ(World.open("large"), 6);
+  EXPECT_TRUE(World.Broken.empty()) << World.Broken.front();
+}
+
+TEST(FormationPlanner, AMemberThatDoesNotGetReadyIsLeftAlone) {
+  FormationWorld World;
+  startService(World);
+  EndpointName Victim = World.someMember("large");
+  FabricDomainName Fabric = World.Engines.at(Victim).Report.Fabric;
+  std::set<EndpointName> Reserves;
+  for (const auto &[Id, Engine] : World.Engines)
+    if (Engine.Report.Fabric == Fabric && Engine.Report.Group &&
+        isReserveName(Engine.Report.Group->Group))
+      Reserves.insert(Id);
+  World.loseOrder([&](const EngineOrder &Order) {
+    return Reserves.contains(Order.To) && !isReserveName(Order.Group);
+  });
+  World.crash(Victim);
+  World.run(seconds(10));
+  // The other group of the domain isn't held up, nor are engines taken twice.
+  EXPECT_EQ(World.open("large"), 5);
+  EXPECT_TRUE(World.Broken.empty()) << World.Broken.front();
+}
+
+/// Crashes, cuts, lost orders and changes of leader in any order.
+RC_GTEST_PROP(FormationPlanner, NoRuleIsBrokenWhateverHappens, ()) {
+  FormationWorld World;
+  startService(World);
+  int Steps = *rc::gen::inRange(1, 25);
+  std::mt19937 Random(*rc::gen::arbitrary<unsigned>());
+  std::vector<EngineOrder> Held;
+  World.loseOrder([&](const EngineOrder &Order) {
+    if (Random() % 5 != 0)
+      return false;
+    Held.push_back(Order);
+    return true;
+  });
+  auto Any = [&] {
+    return std::next(World.Engines.begin(),
+                     static_cast<long>(Random() % World.Engines.size()))
+        ->first;
+  };
+  for (int Step = 0; Step < Steps; ++Step) {
+    switch (Random() % 6) {
+    case 0:
+      World.crash(Any());
+      break;
+    case 1:
+      World.cutOff(Any(), true);
+      break;
+    case 2: {
+      EndpointName Id = Any();
+      if (World.Engines.at(Id).Alive)
+        World.cutOff(Id, false);
+      break;
+    }
+    case 3:
+      World.changeLeader();
+      break;
+    case 4:
+      World.add("b", "b2", 1);
+      break;
+    default:
+      // Orders without an answer are carried out late.
+      for (const EngineOrder &Order : std::exchange(Held, {}))
+        World.carryOut(Order);
+    }
+    World.run(std::chrono::milliseconds(Random() % 3000));
+  }
+  RC_ASSERT(World.Broken == std::vector<std::string>());
+}
