LibControl: Tell places as soon as they are heard after a restart

Ruled out: the entry hosts' search (they followed 0.1 s after the election). Change: groups whose members all reported are told at once, as additions; the whole list follows when everyone was heard. Elections after 0.55 to 1.0 s instead of 0.7 to 1.3.

--- a/Libraries/LibControl/AgreedState.cpp
+++ b/Libraries/LibControl/AgreedState.cpp
@@ -21,8 +21,8 @@
 /// hundred milliseconds, which must not pass for a lost leader.
 static constexpr ReplicaTimings LogTimings{
     .Heartbeat = std::chrono::milliseconds(100),
-    .ElectionLeast = std::chrono::milliseconds(700),
-    .ElectionMost = std::chrono::milliseconds(1300)};
+    .ElectionLeast = std::chrono::milliseconds(550),
+    .ElectionMost = std::chrono::milliseconds(1000)};
 
 /// Catalogs are large and replace each other, so snapshots come early: the
 /// disk holds little more than a few dozen of them.
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -173,13 +173,14 @@
   this->chooseVoters(Now);
   bool Confirmed =
       this->ConfirmedAt && Now - *this->ConfirmedAt < PlanningLease;
-  bool Heard = this->Own.FirstStart ||
-               Now - this->StartedAt > this->Own.ReportInterval + HearingMargin;
-  if (!Confirmed || !Heard || this->InForce.Services.empty())
+  if (!Confirmed || this->InForce.Services.empty())
     return;
   if (!this->Foreman.leads() || this->LedTerm != Status.Term) {
     this->LedTerm = Status.Term;
-    this->Foreman.lead(Now, Status.Term, this->InForce);
+    TimePoint HeardBy;
+    if (!this->Own.FirstStart)
+      HeardBy = this->StartedAt + this->Own.ReportInterval + HearingMargin;
+    this->Foreman.lead(Now, Status.Term, this->InForce, HeardBy);
     logEvent(Severity::Info, "leadership-gained",
              {{"term", static_cast<std::int64_t>(Status.Term)},
               {"endpoints", static_cast<std::int64_t>(
--- a/Libraries/LibControl/EntryWatchers.cpp
+++ b/Libraries/LibControl/EntryWatchers.cpp
@@ -55,17 +55,19 @@
     Any = true;
   }
   if (this->Foreman.leads() &&
-      (!So.Whole || this->Foreman.revision() > So.Places)) {
-    Update.set_whole(!So.Whole);
+      (this->Foreman.revision() > So.Places ||
+       (!So.Whole && this->Foreman.settled(monotonicNow())))) {
+    bool Settled = this->Foreman.settled(monotonicNow());
+    Update.set_whole(Settled && !So.Whole);
     for (const auto &[Name, Place] : this->Foreman.places()) {
-      if (So.Whole && Place.Revision <= So.Places)
+      if ((So.Whole || !Settled) && Place.Revision <= So.Places)
         continue;
       if (!Place.Removed)
         *Update.add_places() = Place.Message;
-      else if (So.Whole)
+      else if (So.Whole && Settled)
         Update.add_removed(Name);
     }
-    So.Whole = true;
+    So.Whole = Settled;
     So.Places = this->Foreman.revision();
     Any = true;
   }
--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -60,9 +60,9 @@
 }
 
 void GroupForeman::lead(TimePoint Now, FencingNumber Term,
-                        const Catalog &InForce) {
+                        const Catalog &InForce, TimePoint HeardBy) {
   this->Leading = true;
-  this->Planner.lead(Now, Term, InForce);
+  this->Planner.lead(Now, Term, InForce, HeardBy);
 }
 
 void GroupForeman::watchLosses(TimePoint Now) {
@@ -206,6 +206,9 @@
       Mode = PlaceMode::Finishing;
     if (Of == nullptr || !Of->Engine || Head == nullptr)
       continue;
+    // Not all members may have been heard yet.
+    if (!this->settled(Now) && Mode != PlaceMode::Open)
+      continue;
     message::PlaceMessage &To = Fresh[Name];
     Fill(To, *Head);
     To.set_name(Name);
--- a/Libraries/LibControl/GroupForeman.h
+++ b/Libraries/LibControl/GroupForeman.h
@@ -33,7 +33,12 @@
   /// whether it waits for one in vain; then the next step is due at once.
   bool entryLoad(TimePoint Now, const message::PulseCall &Call);
 
-  void lead(TimePoint Now, FencingNumber Term, const Catalog &InForce);
+  void lead(TimePoint Now, FencingNumber Term, const Catalog &InForce,
+            TimePoint HeardBy);
+  /// Whether places() holds all places; until then it holds some of them.
+  [[nodiscard]] bool settled(TimePoint Now) const {
+    return this->Leading && this->Planner.settled(Now);
+  }
   void stopLeading() { this->Leading = false; }
   [[nodiscard]] bool leads() const { return this->Leading; }
   /// One step of the planning. \returns whether places changed.
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -15,11 +15,12 @@
 namespace carobhinge {
 
 void FormationPlanner::lead(TimePoint Now, FencingNumber Fence,
-                            const Catalog &InForce) {
+                            const Catalog &InForce, TimePoint HeardBy) {
   assert(Fence >= this->Fence && "Fences grow from leader to leader");
   // The very first leader follows nobody.
   this->LeadingSince =
       this->Engines.all().empty() ? TimePoint() : Now + this->Options.HandOver;
+  this->LeadingSince = std::max(this->LeadingSince, HeardBy);
   this->Fence = Fence;
   // The fence in the upper bits makes epochs grow from leader to leader.
   this->LastEpoch = Fence << 20U;
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -94,8 +94,14 @@
       : Options(Options), Engines(Engines) {}
 
   /// This host leads from now on with \p Fence, which no earlier leader had.
-  /// Groups are read off the reports.
-  void lead(TimePoint Now, FencingNumber Fence, const Catalog &InForce);
+  /// Groups are read off the reports. Before \p HeardBy this host may not have
+  /// heard of all engines; until then nothing is changed.
+  void lead(TimePoint Now, FencingNumber Fence, const Catalog &InForce,
+            TimePoint HeardBy = TimePoint());
+  /// Whether groups() holds all groups and is planned with.
+  [[nodiscard]] bool settled(TimePoint Now) const {
+    return Now >= this->LeadingSince;
+  }
 
   /// Engines that are lost for certain; the set replaces the one before.
   void engineLost(TimePoint Now, const EndpointName &Id);
