Tests, LibEntry: Test entry, catalog, control hosts and the platform's formats

Making them found a fault: a place that had failed kept its bad figures for ever while it was avoided.

--- a/Libraries/LibEntry/DispatchBoard.cpp
+++ b/Libraries/LibEntry/DispatchBoard.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/Hash.h>
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <limits>
 
 namespace carobhinge {
@@ -99,11 +100,16 @@
 
 /// The load that a request would meet, worse where answers were slow or
 /// failed.
-double DispatchBoard::cost(const Known &Candidate) const {
+double DispatchBoard::cost(TimePoint Now, const Known &Candidate) const {
   double Load = (Candidate.InFlight + Candidate.Others + 1.0) /
                 std::max(Candidate.Is.Slots, 1);
-  double Slowness = 1 + Candidate.FirstMs / 500 + Candidate.PauseMs / 250;
-  double Failures = 1 + 8 * Candidate.FailureShare;
+  double Fresh = 0;
+  if (Candidate.JudgedAt != TimePoint::min())
+    Fresh = std::exp2(-toMilliseconds(Now - Candidate.JudgedAt) /
+                      toMilliseconds(this->Options.FiguresHalve));
+  double Slowness =
+      1 + Fresh * (Candidate.FirstMs / 500 + Candidate.PauseMs / 250);
+  double Failures = 1 + Fresh * 8 * Candidate.FailureShare;
   double Away = Candidate.Is.FailureDomain == this->Options.FailureDomain
                     ? 0
                     : this->Options.DomainPreference;
@@ -134,7 +140,7 @@
     return Choice;
   std::ranges::shuffle(Candidates, this->Random);
   Known *Best = Candidates.front();
-  if (Candidates.size() > 1 && this->cost(*Candidates[1]) < this->cost(*Best))
+  if (Candidates.size() > 1 && this->cost(Now, *Candidates[1]) < this->cost(Now, *Best))
     Best = Candidates[1];
   if (Now < Best->Is.ColdUntil)
     Best->ColdNext = Now + this->coldPause(Service);
@@ -165,6 +171,7 @@
   double Passed = toMilliseconds(Now - Its.LastProgress);
   double &Mean = Its.Begun ? Where.PauseMs : Where.FirstMs;
   Mean += Weight * (Passed - Mean);
+  Where.JudgedAt = Now;
   Its.Begun = true;
   Its.LastProgress = Now;
   Where.LastEvent = Now;
@@ -192,9 +199,11 @@
   --Where.InFlight;
   bool Bad = How == AttemptEnd::Failed || How == AttemptEnd::Lost ||
              How == AttemptEnd::Unreachable;
-  if (How != AttemptEnd::Dropped)
+  if (How != AttemptEnd::Dropped) {
     Where.FailureShare +=
         this->Options.Smoothing * ((Bad ? 1.0 : 0.0) - Where.FailureShare);
+    Where.JudgedAt = Now;
+  }
   if (How == AttemptEnd::Answered)
     Where.FailuresInRow = 0;
   if (How == AttemptEnd::Unreachable || How == AttemptEnd::Lost ||
--- a/Libraries/LibEntry/DispatchBoard.h
+++ b/Libraries/LibEntry/DispatchBoard.h
@@ -31,17 +31,17 @@
 using PlaceName = std::string;
 
 struct Place {
-  PlaceName Name;
-  EndpointName Endpoint;
+  PlaceName Name = {};
+  EndpointName Endpoint = {};
   /// "IP:PORT".
-  std::string Address;
-  ServiceName Service;
+  std::string Address = {};
+  ServiceName Service = {};
   /// Empty for plain services.
-  ModelName Model;
-  FailureDomainName FailureDomain;
+  ModelName Model = {};
+  FailureDomainName FailureDomain = {};
   /// Requests that it processes at once.
   int Slots = 1;
-  TimePoint ColdUntil;
+  TimePoint ColdUntil = {};
   PlaceMode Mode = PlaceMode::Open;
   /// Of a group: its number, which grows with each list of members.
   std::uint64_t Epoch = 0;
@@ -67,10 +67,13 @@
   Duration MostRest = std::chrono::seconds(4);
   /// Weight of the newest answer in a place's running figures.
   double Smoothing = 0.2;
+  /// What was learned of a place counts half after this time without an
+  /// answer, so that one that is avoided gets another chance.
+  Duration FiguresHalve = std::chrono::seconds(2);
   /// Load, in requests for each slot, that a place of another failure domain
   /// has to be better by; bytes between domains are priced.
   double DomainPreference = 0.04;
-  FailureDomainName FailureDomain;
+  FailureDomainName FailureDomain = {};
   /// Requests in progress for each slot of a group up to which it is given
   /// more. What others sent since they told may fill the rest; beyond the
   /// slots a request waits for one to end.
@@ -86,7 +89,7 @@
 
 /// Where to send a request, if anywhere.
 struct DispatchChoice {
-  std::optional<Place> Where;
+  std::optional<Place> Where = {};
   /// There are places, but each has as much as it can process.
   bool Full = false;
 };
@@ -182,6 +185,8 @@
     double FirstMs = 0;
     double PauseMs = 0;
     double FailureShare = 0;
+    /// When they were last brought up to date.
+    TimePoint JudgedAt = TimePoint::min();
     std::optional<TimePoint> LastEvent;
     TimePoint RestUntil = TimePoint::min();
     int FailuresInRow = 0;
@@ -205,7 +210,7 @@
   [[nodiscard]] bool isFull(const Known &Candidate) const;
   [[nodiscard]] bool mayWarm(TimePoint Now, const Known &Candidate) const;
   [[nodiscard]] Duration coldPause(const ServiceName &Service) const;
-  [[nodiscard]] double cost(const Known &Candidate) const;
+  [[nodiscard]] double cost(TimePoint Now, const Known &Candidate) const;
   void rest(TimePoint Now, Known &Where);
 
   DispatchOptions Options;
--- a/Libraries/LibEntry/EndpointDialect.h
+++ b/Libraries/LibEntry/EndpointDialect.h
@@ -22,28 +22,28 @@
 /// What a caller's request says besides method, path and body.
 struct CallHead {
   /// Identifies one attempt of a caller.
-  std::string AttemptId;
-  std::string Host;
+  std::string AttemptId = {};
+  std::string Host = {};
   /// How long the caller will wait, if it says so.
-  std::optional<Duration> Patience;
-  std::string Key;
-  ModelName Model;
+  std::optional<Duration> Patience = {};
+  std::string Key = {};
+  ModelName Model = {};
   /// Tokens of the prompt, and at most of the answer; 0 where not said.
   double PromptTokens = 0;
   double AnswerTokens = 0;
   /// The last event that the caller has, if it resumes a stream.
-  std::optional<std::uint64_t> ResumeAfter;
+  std::optional<std::uint64_t> ResumeAfter = {};
 };
 
 /// What an entry host adds to a request that it passes on.
 struct DispatchTerms {
   /// Only this endpoint may run it.
-  EndpointName Expected;
+  EndpointName Expected = {};
   /// How long the caller will still wait.
   Duration Left{};
   /// Empty where the request needs no key.
-  WorkspaceName Workspace;
-  std::optional<std::uint64_t> ResumeAfter;
+  WorkspaceName Workspace = {};
+  std::optional<std::uint64_t> ResumeAfter = {};
 };
 
 /// What the head of an endpoint's answer says.
@@ -51,7 +51,7 @@
   /// The endpoint states that it did not run the request.
   bool NotRun = false;
   /// The attempt that the answer belongs to; empty where not said.
-  std::string AttemptId;
+  std::string AttemptId = {};
   /// Bears the endpoint's signature.
   bool Signed = false;
   bool IsEventStream = false;
--- a/Meta/CMake/LibCatalog.cmake
+++ b/Meta/CMake/LibCatalog.cmake
@@ -1,1 +1,2 @@
 carobhinge_library(LibCatalog LibConsensus LibCore protobuf)
+carobhinge_test(LibCatalog LibCatalog)
--- a/Meta/CMake/LibControl.cmake
+++ b/Meta/CMake/LibControl.cmake
@@ -9,3 +9,4 @@
   LibTelemetry
   LibCore
   protobuf)
+carobhinge_test(LibControl LibControl)
--- a/Meta/CMake/Platform.cmake
+++ b/Meta/CMake/Platform.cmake
@@ -4,3 +4,4 @@
 target_include_directories(Platform PUBLIC ${CMAKE_SOURCE_DIR})
 target_link_libraries(Platform PUBLIC LibEntry LibControl LibCatalog
                                       LibFormation LibHTTP LibCore)
+carobhinge_test(Platform Platform)
--- /dev/null
+++ b/Tests/Platform/TestDecoders.cpp
@@ -0,0 +1,116 @@
+//===- Tests/Platform/TestDecoders.cpp - The platform's names and formats -===//
+
+#include <gtest/gtest.h>
+#include <platform/CallDialect.h>
+#include <platform/EngineDialect.h>
+#include <platform/WireNames.h>
+
+using namespace carobhinge;
+using namespace carobhinge::platform;
+
+static constexpr std::string_view Beat =
+    R"({"service":"s","addr":"10.0.0.9:8080","zone":"a","version":"v1",
+        "slots":26,"state":"ready","cold_left_ms":1500,"phase":"colocated",
+        "models":[],"seq":4,"born":17,"domain":3,"staged":["m"],
+        "group":{"name":"m.g-7","epoch":7,"rank":1,"state":"ready"}})";
+
+TEST(ReportDecoder, ReadsAWholeHeartbeat) {
+  Findings Out;
+  auto Report = EngineDialect().readReport("i-1", Beat, Out);
+  ASSERT_TRUE(Report) << Out.report();
+  EXPECT_EQ(Report->Address, "10.0.0.9:8080");
+  EXPECT_EQ(Report->Fabric, "3");
+  EXPECT_EQ(Report->ColdLeft, std::chrono::milliseconds(1500));
+  EXPECT_EQ(Report->Staged, std::vector<ModelName>{"m"});
+  ASSERT_TRUE(Report->Group);
+  EXPECT_EQ(Report->Group->Epoch, 7U);
+  EXPECT_EQ(Report->Group->State, MemberState::Ready);
+  EXPECT_FALSE(Report->Leaving);
+}
+
+static std::string replaced(std::string_view From, std::string_view To) {
+  std::string Text(Beat);
+  Text.replace(Text.find(From), From.size(), To);
+  return Text;
+}
+
+TEST(ReportDecoder, RefusesWhatIsNotSound) {
+  EngineDialect Dialect;
+  for (const std::string &Text :
+       {replaced("\"seq\":4,", ""), replaced("\"seq\":4", "\"seq\":\"4\""),
+        replaced("\"born\":17", "\"born\":17.5"),
+        replaced("\"ready\",\"cold", "\"asleep\",\"cold"),
+        replaced("10.0.0.9:8080", "nowhere"), std::string("\xff\x00{"),
+        std::string(Beat.substr(0, 80)), std::string("[]")}) {
+    Findings Out;
+    EXPECT_FALSE(Dialect.readReport("i-1", Text, Out)) << Text;
+  }
+}
+
+TEST(CatalogDecoder, ReadsRoutesServicesAndWorkspaces) {
+  Findings Out;
+  auto Decoded = EngineDialect().readCatalog(
+      R"({"version":7,"new":1,
+          "routes":[{"name":"r","host":"h","path_prefix":"/p/",
+            "route_kind":"streaming","timeout_ms":8000,"goal_ms":300,
+            "priority":1,"split":[{"service":"s","weight":90}],
+            "max_attempts":2,"public":false,"resumable":true,
+            "itl_target_ms":300}],
+          "services":[{"name":"s","health_path":"/healthz","max_conns":4,
+            "cold_per_s":36.0,"engine":{"slots":26,"form_ms":300.0,
+              "loads_per_s":4.5,"loads_at_once":6,
+              "models":[{"name":"m","size":4,"share":0.57,"pace":1.0,
+                         "load_s":16.0,"warm_s":1.6}]}}],
+          "tenants":[{"name":"t","api_keys":["k"],"priority":1}]})",
+      Out);
+  ASSERT_TRUE(Decoded) << Out.report();
+  EXPECT_EQ(Decoded->Version, 7U);
+  EXPECT_EQ(Decoded->Routes[0].Repeat, RepeatRule::Stream);
+  EXPECT_TRUE(Decoded->Routes[0].mayRunAgain());
+  EXPECT_EQ(Decoded->Services[0].Engine->Models[0].GroupSize, 4);
+  EXPECT_EQ(Decoded->Workspaces[0].Keys, std::vector<std::string>{"k"});
+}
+
+TEST(CatalogDecoder, ATextCutShortIsRefused) {
+  for (std::string_view Text :
+       {R"({"version":7,"routes":[],"serv)", R"({"version":7,"routes":[]})",
+        R"({"routes":[],"services":[]})"}) {
+    Findings Out;
+    EXPECT_FALSE(EngineDialect().readCatalog(Text, Out)) << Text;
+  }
+}
+
+TEST(CallDialect, TheKeyStaysHereAndTheWorkspaceIsSetWhateverTheCallerSent) {
+  HttpRequest Call{.Method = "POST", .Target = "/p/1", .Body = "b"};
+  Call.Headers.add("Host", "h");
+  Call.Headers.add("x-carobhinge-key", "secret");
+  Call.Headers.add("X-CAROBHINGE-TENANT", "forged");
+  Call.Headers.add(DeadlineField, "8000");
+  Call.Headers.add(AttemptIdField, "id");
+  Call.Headers.add("Connection", "keep-alive");
+  CallDialect Dialect;
+  EXPECT_EQ(Dialect.readCall(Call).Key, "secret");
+  DispatchTerms Terms{.Expected = "i-1",
+                      .Left = std::chrono::milliseconds(1234),
+                      .Workspace = "t",
+                      .ResumeAfter = 12};
+  HttpRequest Sent = Dialect.toEndpoint(Call, Terms);
+  EXPECT_EQ(Sent.Headers.count(KeyField), 0U);
+  EXPECT_EQ(Sent.Headers.count(WorkspaceField), 1U);
+  EXPECT_EQ(Sent.Headers.value(WorkspaceField), "t");
+  EXPECT_EQ(Sent.Headers.value(DeadlineField), "1234");
+  EXPECT_EQ(Sent.Headers.value(ExpectedField), "i-1");
+  EXPECT_EQ(Sent.Headers.value(ResumeField), "12");
+  EXPECT_EQ(Sent.Headers.value("Host"), "h");
+  EXPECT_EQ(Sent.Headers.count("Connection"), 0U);
+  EXPECT_EQ(Sent.Body, "b");
+}
+
+TEST(CallDialect, KnowsARefusalThatDidNotRun) {
+  CallDialect Dialect;
+  HttpResponseHead Full{.Status = 503};
+  Full.Headers.add(NotRunField, "1");
+  EXPECT_TRUE(Dialect.readAnswer(Full).NotRun);
+  EXPECT_TRUE(Dialect.readAnswer({.Status = 421}).NotRun);
+  EXPECT_FALSE(Dialect.readAnswer({.Status = 503}).NotRun);
+}
