LibHTTP, LibEntry: Take no new connection when a stop is half over

Ruled out: requests from before the signal (all were sent 4 to 7 s after it). HttpServer::stop closes idle connections, and answers a request of which a part has come.

--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -101,12 +101,13 @@
   logEvent(Severity::Info, "stop", {{"role", "entry"}});
   this->State.Stopping = true;
   this->Callers.drain();
-  TimePoint Began = monotonicNow();
-  TimePoint End = Began + this->Own.Bounds.GraceTime - GraceMargin;
+  TimePoint End = monotonicNow() + this->Own.Bounds.GraceTime - GraceMargin;
   Signal Pause(this->Context.get_executor());
-  while (monotonicNow() < End &&
-         (monotonicNow() - Began < UnreadyTime ||
-          this->Callers.activeExchanges() > 0))
+  co_await Pause.wait(UnreadyTime);
+  // Where most hosts of a failure domain stop at once the platform goes on
+  // sending to all of them. What comes later could not be finished in time.
+  this->Callers.stop();
+  while (monotonicNow() < End && this->Callers.activeExchanges() > 0)
     co_await Pause.wait(std::chrono::milliseconds(100));
   logEvent(Severity::Info, "stopped",
            {{"cut_off", static_cast<std::int64_t>(
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -21,7 +21,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cassert>
+#include <mutex>
 #include <optional>
+#include <vector>
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -43,6 +45,10 @@
                   R"(,"outcome":"not-run"})"};
 }
 
+namespace {
+class Connection;
+} // namespace
+
 class HttpServer::Implementation
     : public std::enable_shared_from_this<HttpServer::Implementation> {
 public:
@@ -55,6 +61,8 @@
 
   asio::awaitable<void> acceptLoop();
   void closeAcceptor();
+  void closeIdle();
+  void remember(const std::shared_ptr<Connection> &Served);
 
   asio::any_io_executor Executor;
   HttpServerOptions Options;
@@ -64,6 +72,11 @@
   std::atomic<bool> Draining = false;
   std::atomic<std::size_t> Active = 0;
   std::atomic<std::size_t> Connections = 0;
+
+private:
+  std::mutex Lock;
+  /// All connections, and some that have ended.
+  std::vector<std::weak_ptr<Connection>> Open;
 };
 
 namespace {
@@ -80,6 +93,13 @@
 
   asio::awaitable<void> serve();
 
+  /// Closes the connection if no byte of a request has come. On its strand.
+  void closeIfIdle() {
+    if (this->Idle)
+      this->Stream.close();
+  }
+  asio::any_io_executor executor() { return this->Stream.get_executor(); }
+
   [[nodiscard]] const HttpRequest &request() const override {
     return this->Current;
   }
@@ -108,6 +128,8 @@
   beast::flat_buffer Buffer;
   HttpRequest Current;
   bool KeepAlive = true;
+  /// Waits for the first byte of a request.
+  bool Idle = false;
   bool Gone = false;
   /// Whether the answer's last byte was written. A connection whose answer is
   /// not complete is closed, never reused.
@@ -135,8 +157,10 @@
   Parser.body_limit(this->Options.BodyBytes);
   if (this->Buffer.size() == 0) {
     this->Stream.expires_after(this->Options.IdleTimeout);
+    this->Idle = true;
     auto [Error, Count] = co_await this->Stream.async_read_some(
         this->Buffer.prepare(this->Options.HeaderBytes), UseTuple);
+    this->Idle = false;
     if (Error)
       co_return false;
     this->Buffer.commit(Count);
@@ -144,7 +168,7 @@
   this->Stream.expires_after(this->Options.TransferTimeout);
   auto [Error, Count] =
       co_await http::async_read(this->Stream, this->Buffer, Parser, UseTuple);
-  if (Error == http::error::end_of_stream || this->Stopping)
+  if (Error == http::error::end_of_stream)
     co_return false;
   if (Error) {
     if (Error == http::error::header_limit)
@@ -310,6 +334,7 @@
         beast::tcp_stream(std::move(Socket)), this->Options, this->Handler,
         this->Stopping, this->Draining, this->Active);
     ++this->Connections;
+    this->remember(Served);
     asio::co_spawn(
         Executor,
         [Served, Self = this->shared_from_this()]() -> asio::awaitable<void> {
@@ -321,12 +346,30 @@
   }
 }
 
+void HttpServer::Implementation::remember(
+    const std::shared_ptr<Connection> &Served) {
+  /// Between two clean-ups of the list.
+  static constexpr std::size_t CleanUpAt = 256;
+  std::lock_guard Guard(this->Lock);
+  if (this->Open.size() >= std::max(CleanUpAt, 2 * this->Connections.load()))
+    std::erase_if(this->Open, [](const auto &Each) { return Each.expired(); });
+  this->Open.push_back(Served);
+}
+
+void HttpServer::Implementation::closeIdle() {
+  std::lock_guard Guard(this->Lock);
+  for (const std::weak_ptr<Connection> &Each : this->Open)
+    if (auto Served = Each.lock())
+      asio::post(Served->executor(), [Served] { Served->closeIfIdle(); });
+}
+
 void HttpServer::Implementation::closeAcceptor() {
   this->Stopping = true;
   asio::post(this->Acceptor.get_executor(), [Self = this->shared_from_this()] {
     beast::error_code Ignored;
     Self->Acceptor.close(Ignored);
   });
+  this->closeIdle();
 }
 
 HttpServer::HttpServer(asio::any_io_executor Executor,
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -82,7 +82,8 @@
   void setLimits(std::size_t HeaderBytes, std::size_t BodyBytes,
                  Duration TransferTimeout, Duration IdleTimeout);
 
-  /// Takes no new connection and closes each one after its current request.
+  /// Takes no new connection, closes those without a request, and each other
+  /// one after its current request.
   void stop();
 
   /// Requests whose answer is not yet complete.
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -166,3 +166,96 @@
     EXPECT_TRUE(this->exchangeRaw(Case.Bytes).starts_with(Case.Expected))
         << Case.Bytes.substr(0, 80);
 }
+
+TEST_F(Http, StoppingClosesIdleConnectionsAndAnswersTheOthers) {
+  auto Open = [this](std::string_view Bytes, std::string &Answer,
+                     bool &Closed) {
+    auto Socket = std::make_unique<asio::ip::tcp::socket>(this->Context);
+    Socket->connect(parseAddress(this->Server.address()));
+    asio::write(*Socket, asio::buffer(Bytes));
+    asio::async_read(*Socket, asio::dynamic_buffer(Answer),
+                     [&Closed](auto, auto) { Closed = true; });
+    return Socket;
+  };
+  std::string IdleAnswer;
+  std::string BusyAnswer;
+  bool IdleClosed = false;
+  bool BusyClosed = false;
+  auto Idle = Open("", IdleAnswer, IdleClosed);
+  auto Busy = Open("GET /whole HTTP/1.1\r\n", BusyAnswer, BusyClosed);
+  for (int I = 0; I < 20; ++I)
+    this->Context.poll();
+  this->Server.stop();
+  this->runUntil([&] { return IdleClosed; });
+  EXPECT_EQ(IdleAnswer, "");
+  EXPECT_FALSE(BusyClosed);
+  // The rest of a request that has begun still comes and is answered whole.
+  asio::write(*Busy, asio::buffer(std::string_view("\r\n")));
+  this->runUntil([&] { return BusyClosed; });
+  EXPECT_TRUE(BusyAnswer.ends_with("0\r\n\r\n")) << BusyAnswer;
+  EXPECT_NE(BusyAnswer.find("Connection: close"), std::string::npos);
+}
+
+namespace {
+
+/// An endpoint that answers one connection with given bytes.
+class RawEndpoint {
+public:
+  RawEndpoint(asio::io_context &Context, std::string Bytes, bool Reset)
+      : Acceptor(Context, parseAddress("127.0.0.1:0")), Socket(Context) {
+    this->Acceptor.async_accept(this->Socket, [this, Bytes, Reset](auto) {
+      this->Socket.async_read_some(
+          asio::buffer(this->Request), [this, Bytes, Reset](auto, auto) {
+            asio::write(this->Socket, asio::buffer(Bytes));
+            if (Reset)
+              this->Socket.set_option(asio::socket_base::linger(true, 0));
+            this->Socket.close();
+          });
+    });
+  }
+  std::string address() {
+    return formatAddress(this->Acceptor.local_endpoint());
+  }
+
+private:
+  asio::ip::tcp::acceptor Acceptor;
+  asio::ip::tcp::socket Socket;
+  std::array<char, 4096> Request{};
+};
+
+HttpAnswer fetchFrom(const std::string &Bytes, bool Reset) {
+  asio::io_context Context;
+  RawEndpoint Endpoint(Context, Bytes, Reset);
+  HttpClient Client(Context.get_executor(), {.SingleThread = true});
+  HttpCallOptions Options;
+  Options.WholeOnClose = true;
+  Options.Belongs = [](const HttpResponseHead &Head) {
+    return Head.Headers.value("Id") == "mine";
+  };
+  auto Future = asio::co_spawn(
+      Context,
+      Client.fetch(Endpoint.address(), {.Method = "GET", .Target = "/"},
+                   Options, 4096),
+      asio::use_future);
+  Context.run();
+  return Future.get();
+}
+
+} // namespace
+
+TEST(HttpClient, AnAnswerToAnotherCallIsDroppedAndItsOwnIsTaken) {
+  HttpAnswer Answer =
+      fetchFrom("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 5\r\n\r\nwrong"
+                "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nright",
+                false);
+  EXPECT_EQ(Answer.End, HttpCallEnd::Complete);
+  EXPECT_EQ(Answer.Body, "right");
+}
+
+TEST(HttpClient, AnAnswerWithoutLengthIsWholeOnlyIfItsConnectionWasClosed) {
+  std::string Bytes = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nall of it";
+  HttpAnswer Closed = fetchFrom(Bytes, false);
+  EXPECT_EQ(Closed.End, HttpCallEnd::Complete);
+  EXPECT_EQ(Closed.Body, "all of it");
+  EXPECT_EQ(fetchFrom(Bytes, true).End, HttpCallEnd::BrokenOff);
+}
