LibControl: Keep catalogs compressed

Cause: on the grown deployments a catalog with 1,040 more routes was acknowledged after 5.6 s and then not read back in time; it goes to five disks and 79 entry hosts, and each kilobyte costs a leader processor time. Change: the register holds the compressed text; it is unpacked where it is read.

--- a/Libraries/LibControl/AgreedState.h
+++ b/Libraries/LibControl/AgreedState.h
@@ -23,6 +23,9 @@
 
 namespace carobhinge {
 
+/// A catalog's text may have this many bytes; callers are bounded by less.
+inline constexpr std::size_t MostCatalogBytes = std::size_t(8) * 1024 * 1024;
+
 class AgreedState {
 public:
   using Sender =
--- a/Libraries/LibControl/ControlCalls.cpp
+++ b/Libraries/LibControl/ControlCalls.cpp
@@ -11,6 +11,7 @@
 #include <LibControl/ControlProcess.h>
 #include <LibControl/FleetMessages.h>
 
+#include <LibCore/Compression.h>
 #include <LibTelemetry/Log.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -111,7 +112,7 @@
   }
   message::RegisterCommand Command;
   Command.set_version(Decoded->Version);
-  Command.set_text(Text);
+  Command.set_text(compress(Text));
   co_await this->commit(Exchange, std::move(Command));
 }
 
@@ -120,9 +121,10 @@
     co_return co_await this->redirect(Exchange);
   bool Confirmed = co_await this->State.confirm();
   const message::RegisterState &State = this->State.state();
-  HttpResponse Result = Confirmed && State.version() > 0
-                            ? answer(200, State.text())
-                            : answer(503);
+  std::optional<std::string> Text =
+      decompress(State.text(), MostCatalogBytes);
+  bool Known = Confirmed && State.version() > 0 && Text;
+  HttpResponse Result = Known ? answer(200, std::move(*Text)) : answer(503);
   co_await Exchange.respond(std::move(Result));
 }
 
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -9,6 +9,7 @@
 #include <LibControl/ControlProcess.h>
 #include <LibControl/FleetMessages.h>
 
+#include <LibCore/Compression.h>
 #include <LibCore/Hash.h>
 #include <LibTelemetry/Log.h>
 #include <boost/asio/co_spawn.hpp>
@@ -126,7 +127,9 @@
 void ControlProcess::stateChanged(const message::RegisterState &Changed) {
   if (Changed.version() > this->InForce.Version) {
     Findings Out;
-    if (auto Decoded = this->Dialect.readCatalog(Changed.text(), Out))
+    std::string Text =
+        decompress(Changed.text(), MostCatalogBytes).value_or(std::string());
+    if (auto Decoded = this->Dialect.readCatalog(Text, Out))
       this->InForce = std::move(*Decoded);
     else
       logEvent(Severity::Error, "catalog-unreadable",
--- a/Libraries/LibEntry/ControlFollower.cpp
+++ b/Libraries/LibEntry/ControlFollower.cpp
@@ -2,6 +2,8 @@
 
 #include <LibEntry/ControlFollower.h>
 
+#include <LibControl/AgreedState.h>
+#include <LibCore/Compression.h>
 #include <LibCore/Hash.h>
 #include <LibTelemetry/Log.h>
 #include <algorithm>
@@ -152,7 +154,8 @@
   if (Update.version() > Held && !Update.text().empty()) {
     Findings Out;
     std::optional<Catalog> Decoded =
-        this->Dialect.readCatalog(Update.text(), Out);
+        this->Dialect.readCatalog(
+            decompress(Update.text(), MostCatalogBytes).value_or(""), Out);
     if (!Decoded) {
       logEvent(Severity::Error, "catalog-unreadable",
                {{"version", static_cast<std::int64_t>(Update.version())},
--- a/Meta/CMake/LibCore.cmake
+++ b/Meta/CMake/LibCore.cmake
@@ -1,2 +1,2 @@
-carobhinge_library(LibCore xxhash)
+carobhinge_library(LibCore xxhash z)
 carobhinge_test(LibCore LibCore)
