LibConsensus: Let a learner make itself known to hosts that it is told of

Ruled out: a learner too slow to catch up (it had got no entry). Change: learners also say hello to control hosts that others told of; the same change of voters is asked for again only after 5 s.

--- a/Libraries/LibCatalog/RouteTable.h
+++ b/Libraries/LibCatalog/RouteTable.h
@@ -41,7 +41,8 @@
 private:
   Catalog Content;
   /// Host, then prefix. Both point into Content, which never changes.
-  std::unordered_map<std::string_view, std::map<std::string_view, const Route *>>
+  std::unordered_map<std::string_view,
+                     std::map<std::string_view, const Route *>>
       ByHost;
   std::unordered_map<std::string_view, const Workspace *> ByKey;
 };
--- a/Libraries/LibConsensus/LogDriver.cpp
+++ b/Libraries/LibConsensus/LogDriver.cpp
@@ -336,6 +336,15 @@
                 .Refuse = [] {}});
 }
 
+void LogDriver::meet(std::vector<HostName> Hosts) {
+  Worker *Target = this->Running.get();
+  Target->post({.Handle =
+                    [Target, Hosts = std::move(Hosts)]() mutable {
+                      Target->runner().replica().meet(std::move(Hosts));
+                    },
+                .Refuse = [] {}});
+}
+
 void LogDriver::stop() { this->Running->stop(); }
 
 } // namespace carobhinge
--- a/Libraries/LibConsensus/LogDriver.h
+++ b/Libraries/LibConsensus/LogDriver.h
@@ -111,6 +111,9 @@
   /// Asks for voters on exactly \p Hosts; the leader changes them one by one.
   void changeHosts(std::vector<HostName> Hosts);
 
+  /// As Replica::meet.
+  void meet(std::vector<HostName> Hosts);
+
   /// Ends the worker: open proposals are Lost, open reads NotLeader.
   /// Idempotent. Must not be called from a callback.
   void stop();
--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -91,6 +91,10 @@
   /// leader with the last change done. \returns whether it was taken.
   bool changeHosts(TimePoint Now, const std::vector<HostName> &Hosts);
 
+  /// Hosts that may have a part in the log. While this replica learns it makes
+  /// itself known to them, as none of the first hosts may lead any more.
+  void meet(std::vector<HostName> Hosts) { this->Met = std::move(Hosts); }
+
   /// What is to be done, in order. After an empty answer nothing is.
   std::vector<Effect> takeEffects(TimePoint Now);
 
@@ -266,6 +270,8 @@
   /// Whether this life may vote: nobody knows of a claim that was lost.
   bool Confirmed = false;
   Claims Known;
+  /// As told by meet().
+  std::vector<HostName> Met;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibConsensus/ReplicaMembers.cpp
+++ b/Libraries/LibConsensus/ReplicaMembers.cpp
@@ -54,8 +54,15 @@
 }
 
 void Replica::sayHelloToAll() {
-  for (const HostName &Host : this->otherHosts())
+  std::vector<HostName> Hosts = this->otherHosts();
+  for (const HostName &Host : Hosts)
     this->sayHello(Host, false);
+  if (this->role() != Role::Learner)
+    return;
+  for (const HostName &Host : this->Met)
+    if (Host != this->Options.Self &&
+        std::ranges::find(Hosts, Host) == Hosts.end())
+      this->sayHello(Host, false);
 }
 
 void Replica::tickMembers(TimePoint Now) {
--- a/Libraries/LibControl/AgreedState.cpp
+++ b/Libraries/LibControl/AgreedState.cpp
@@ -26,9 +26,8 @@
 
 /// Catalogs are large and replace each other, so snapshots come early: the
 /// disk holds little more than a few dozen of them.
-static constexpr ReplicaBounds LogBounds{.SnapshotEntries = 32,
-                                         .SnapshotShare = 4,
-                                         .EntriesKept = 32};
+static constexpr ReplicaBounds LogBounds{
+    .SnapshotEntries = 32, .SnapshotShare = 4, .EntriesKept = 32};
 
 AgreedState::AgreedState(asio::any_io_executor Executor,
                          const HostSettings &Own, std::vector<HostName> First,
@@ -50,10 +49,11 @@
       .Folder = Folder,
       .Timings = LogTimings,
       .Bounds = LogBounds,
-      .Send = [Executor, Send](const HostName &To,
-                               const message::ConsensusMessage &Message) {
-        asio::post(Executor, [Send, To, Message] { Send(To, Message); });
-      },
+      .Send =
+          [Executor, Send](const HostName &To,
+                           const message::ConsensusMessage &Message) {
+            asio::post(Executor, [Send, To, Message] { Send(To, Message); });
+          },
       .Machine = &this->Register,
       .Seed = hash64(Own.Host),
       .Files = &this->Files});
--- a/Libraries/LibControl/AgreedState.h
+++ b/Libraries/LibControl/AgreedState.h
@@ -55,6 +55,8 @@
   void changeVoters(std::vector<HostName> Hosts) {
     this->Log->changeHosts(std::move(Hosts));
   }
+  /// Control hosts that may have a part in the agreement.
+  void meet(std::vector<HostName> Hosts) { this->Log->meet(std::move(Hosts)); }
   void transferLeadership() { this->Log->transferLeadership(); }
   void stop() { this->Log->stop(); }
 
--- a/Libraries/LibControl/ControlCalls.cpp
+++ b/Libraries/LibControl/ControlCalls.cpp
@@ -100,7 +100,8 @@
   if (Decoded)
     Out = checkCatalog(*Decoded);
   if (!Out.empty()) {
-    logEvent(Severity::Warning, "catalog-refused", {{"findings", Out.report()}});
+    logEvent(Severity::Warning, "catalog-refused",
+             {{"findings", Out.report()}});
     HttpResponse Invalid =
         answer(400, R"({"error":"the catalog has findings"})");
     co_return co_await Exchange.respond(std::move(Invalid));
@@ -121,8 +122,7 @@
     co_return co_await this->redirect(Exchange);
   bool Confirmed = co_await this->State.confirm();
   const message::RegisterState &State = this->State.state();
-  std::optional<std::string> Text =
-      decompress(State.text(), MostCatalogBytes);
+  std::optional<std::string> Text = decompress(State.text(), MostCatalogBytes);
   bool Known = Confirmed && State.version() > 0 && Text;
   HttpResponse Result = Known ? answer(200, std::move(*Text)) : answer(503);
   co_await Exchange.respond(std::move(Result));
@@ -194,8 +194,9 @@
   WireReply Reply = co_await this->link(Status.Leader)
                         .call("relay", Call.SerializeAsString(), LeaderTimeout);
   message::RelayResult Result;
-  co_return Reply.End == WireCallEnd::Complete &&
-      Result.ParseFromString(Reply.Message) && Result.leading();
+  co_return Reply.End ==
+          WireCallEnd::Complete &&Result.ParseFromString(Reply.Message) &&
+      Result.leading();
 }
 
 void ControlProcess::relay(const message::EngineReportMessage &Report) {
--- a/Libraries/LibControl/ControlDialect.h
+++ b/Libraries/LibControl/ControlDialect.h
@@ -57,8 +57,7 @@
   ControlDialect &operator=(const ControlDialect &) = delete;
   virtual ~ControlDialect() = default;
 
-  [[nodiscard]] virtual ControlCall
-  readCall(const HttpRequest &Call) const = 0;
+  [[nodiscard]] virtual ControlCall readCall(const HttpRequest &Call) const = 0;
   /// Nothing if the text can't be read; \p Out tells why.
   [[nodiscard]] virtual std::optional<Catalog>
   readCatalog(std::string_view Text, Findings &Out) const = 0;
--- a/Libraries/LibControl/ControlHosts.cpp
+++ b/Libraries/LibControl/ControlHosts.cpp
@@ -75,8 +75,8 @@
     if (Candidates.contains(Host) && Chosen.size() < Wanted)
       Take(Host);
   while (Chosen.size() < Wanted && !Candidates.empty()) {
-    auto Best = std::ranges::min_element(
-        Candidates, {}, [&](const HostName &Host) {
+    auto Best =
+        std::ranges::min_element(Candidates, {}, [&](const HostName &Host) {
           auto Found = InDomain.find(this->domainOf(Host));
           return Found == InDomain.end() ? 0 : Found->second;
         });
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -32,6 +32,8 @@
 static constexpr auto HearingMargin = std::chrono::milliseconds(1200);
 /// Between two changes of the voters: the last one is on its way meanwhile.
 static constexpr auto ChangePause = std::chrono::milliseconds(500);
+/// Before the same change is asked for again.
+static constexpr auto ChangeRepeat = std::chrono::seconds(5);
 /// Handing over leadership takes one round trip.
 static constexpr auto HandOverTime = std::chrono::milliseconds(400);
 
@@ -138,8 +140,8 @@
   }
   logEvent(Severity::Info, "state-agreed",
            {{"version", static_cast<std::int64_t>(Changed.version())},
-            {"emptied_domains", static_cast<std::int64_t>(
-                                    Changed.emptied_domains_size())}});
+            {"emptied_domains",
+             static_cast<std::int64_t>(Changed.emptied_domains_size())}});
   this->Watchers.wake();
 }
 
@@ -203,9 +205,11 @@
   auto Chosen = this->Hosts.chooseVoters(Now, Status.Voters, this->Own.Borne);
   if (!Chosen || !this->ConfirmedAt)
     return;
-  if (Now - this->VotersAskedAt < ChangePause)
+  bool Asked = this->VotersAsked == *Chosen;
+  if (Now - this->VotersAskedAt < (Asked ? ChangeRepeat : ChangePause))
     return;
   this->VotersAskedAt = Now;
+  this->VotersAsked = *Chosen;
   logEvent(Severity::Info, "voters-change",
            {{"hosts", static_cast<std::int64_t>(Chosen->size())}});
   this->State.changeVoters(std::move(*Chosen));
@@ -216,6 +220,7 @@
   auto Token = asio::as_tuple(asio::use_awaitable);
   while (!this->Stopping) {
     this->Hosts.forget(monotonicNow());
+    this->State.meet(this->Hosts.known());
     for (const HostName &Host : this->Hosts.known())
       if (Host != this->Own.Ip)
         asio::co_spawn(this->Context, this->introduce(Host), asio::detached);
--- a/Libraries/LibControl/ControlProcess.h
+++ b/Libraries/LibControl/ControlProcess.h
@@ -90,6 +90,7 @@
   bool Confirming = false;
   std::uint64_t LedTerm = 0;
   TimePoint VotersAskedAt;
+  std::vector<HostName> VotersAsked;
   bool Stopping = false;
 };
 
--- a/Libraries/LibControl/EntryWatchers.h
+++ b/Libraries/LibControl/EntryWatchers.h
@@ -33,7 +33,9 @@
   boost::asio::awaitable<void> watch(WireExchange &Exchange);
   boost::asio::awaitable<void> pulse(WireExchange &Exchange);
 
-  [[nodiscard]] int count() const { return static_cast<int>(this->Watching.size()); }
+  [[nodiscard]] int count() const {
+    return static_cast<int>(this->Watching.size());
+  }
 
 private:
   /// What one watcher was told.
--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -31,8 +31,7 @@
                            const ControlDialect &Dialect)
     : Executor(Executor), Own(Own), Dialect(Dialect),
       Client(Executor, {.SingleThread = true}),
-      Watch(watchOptions(Own), this->Engines),
-      Planner({}, this->Engines) {}
+      Watch(watchOptions(Own), this->Engines), Planner({}, this->Engines) {}
 
 bool GroupForeman::report(TimePoint HeardAt, EngineReport Report) {
   return this->Engines.accept(HeardAt, std::move(Report));
@@ -50,9 +49,9 @@
     Suspicion = Suspicion || Load.silent();
     auto Place = this->Places.find(Load.place());
     if (Load.since_event_ms() >= 0 && Place != this->Places.end())
-      this->Watch.flowed(
-          Load.place(), Place->second.Message.epoch(),
-          Now - std::chrono::milliseconds(Load.since_event_ms()));
+      this->Watch.flowed(Load.place(), Place->second.Message.epoch(),
+                         Now -
+                             std::chrono::milliseconds(Load.since_event_ms()));
     if (Load.silent())
       this->Watch.silent(Now, Load.place());
   }
@@ -80,8 +79,8 @@
       this->Planner.engineLost(Now, Id);
     logEvent(Severity::Info, Was ? "engine-found" : "engine-lost",
              {{"endpoint", Id},
-              {"group", Record.Report.Group ? Record.Report.Group->Group
-                                            : GroupName()},
+              {"group",
+               Record.Report.Group ? Record.Report.Group->Group : GroupName()},
               {"heard_ms_ago", milliseconds(Now - Record.HeardAt)}});
   }
 }
@@ -141,10 +140,9 @@
             {"verb", verbName(Order.Verb)},
             {"group", Order.Group},
             {"epoch", static_cast<std::int64_t>(Order.Epoch)},
-            {"status", static_cast<std::int64_t>(
-                           Answer.End == HttpCallEnd::Complete
-                               ? Answer.Head.Status
-                               : 0)},
+            {"status",
+             static_cast<std::int64_t>(
+                 Answer.End == HttpCallEnd::Complete ? Answer.Head.Status : 0)},
             {"answer", std::string_view(Answer.Body).substr(0, 200)}});
   this->Planner.answered(monotonicNow(), Order, Result);
 }
@@ -195,8 +193,8 @@
     To.set_service(From.Report.Service);
     To.set_failure_domain(From.Report.FailureDomain);
     // Told once; each entry host counts it down by itself.
-    To.set_cold_left_ms(std::max<std::int64_t>(
-        milliseconds(From.ColdUntil - From.HeardAt), 0));
+    To.set_cold_left_ms(
+        std::max<std::int64_t>(milliseconds(From.ColdUntil - From.HeardAt), 0));
   };
   for (const auto &[Name, Group] : this->Planner.groups()) {
     const Service *Of = InForce.service(Group.Service);
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -194,10 +194,8 @@
   HttpCallEnd End = HttpCallEnd::BrokenOff;
   bool CallerFailed = false;
   try {
-    End = co_await this->Shared.Client.perform(Where.Address,
-                                               std::move(Request),
-                                               std::move(Options), *this,
-                                               Control);
+    End = co_await this->Shared.Client.perform(
+        Where.Address, std::move(Request), std::move(Options), *this, Control);
   } catch (const boost::system::system_error &) {
     // Writing to the caller failed.
     CallerFailed = true;
@@ -231,8 +229,8 @@
   this->MayHaveRun = true;
   ++this->Runs;
   bool Failed = Whole && this->AnswerHeadFields.Status >= 500;
-  AttemptEnd How = Failed  ? AttemptEnd::Failed
-                   : Whole ? AttemptEnd::Answered
+  AttemptEnd How = Failed   ? AttemptEnd::Failed
+                   : Whole  ? AttemptEnd::Answered
                    : OwnEnd ? AttemptEnd::Dropped
                             : AttemptEnd::Lost;
   if (Whole && this->Streaming && this->Events.broken())
@@ -251,13 +249,13 @@
   if (this->Answer.Encoded ||
       (!this->Answer.Signed && this->AnswerHeadFields.Status < 300))
     co_return Verdict::GiveUp;
-  bool Repeat = Failed && this->Rule->mayRunAgain() &&
-                this->Runs < this->Rule->EndpointsPerRequest &&
-                this->left() > LeastTime && this->Attempts < MostAttempts;
+  bool Repeat =
+      Failed && this->Rule->mayRunAgain() &&
+      this->Runs<this->Rule->EndpointsPerRequest &&this->left()> LeastTime &&
+      this->Attempts < MostAttempts;
   if (Repeat)
     co_return Verdict::TryAgain;
-  HttpResponseHead Head =
-      this->Shared.Dialect.toCaller(this->AnswerHeadFields);
+  HttpResponseHead Head = this->Shared.Dialect.toCaller(this->AnswerHeadFields);
   this->note(Failed ? "endpoint-failed" : "answered", "");
   HttpResponse Result{.Status = Head.Status,
                       .ContentType = "",
@@ -285,8 +283,8 @@
   if (!this->MayHaveRun)
     co_return co_await this->refuse(503, Reason, UsualRetryAfter);
   this->note("unknown", Reason);
-  HttpResponse Unknown = this->Shared.Dialect.refusal(
-      this->Expired ? 504 : 502, Reason, std::nullopt);
+  HttpResponse Unknown = this->Shared.Dialect.refusal(this->Expired ? 504 : 502,
+                                                      Reason, std::nullopt);
   co_await this->Exchange.respond(std::move(Unknown));
 }
 
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -63,7 +63,9 @@
   bool mayRepeat();
   void callerGone();
   void expire();
-  [[nodiscard]] Duration left() const { return this->Deadline - monotonicNow(); }
+  [[nodiscard]] Duration left() const {
+    return this->Deadline - monotonicNow();
+  }
   void note(std::string_view Outcome, std::string_view Reason);
 
   SessionContext &Shared;
--- a/Libraries/LibEntry/ControlFollower.cpp
+++ b/Libraries/LibEntry/ControlFollower.cpp
@@ -100,7 +100,8 @@
       Link.start("watch", Call.SerializeAsString());
   bool Leads = false;
   while (true) {
-    std::optional<std::string> Next = co_await Watch->next(Leads ? UpdateTimeout : FirstUpdateTimeout);
+    std::optional<std::string> Next =
+        co_await Watch->next(Leads ? UpdateTimeout : FirstUpdateTimeout);
     message::WatchUpdate Update;
     if (!Next || !Update.ParseFromString(*Next))
       break;
@@ -109,9 +110,8 @@
     if (!Leads) {
       logEvent(Severity::Info, "control-followed", {{"peer", Host}});
       // Links to hosts that don't lead cost pings.
-      std::erase_if(this->Links, [&](const auto &Entry) {
-        return Entry.first != Host;
-      });
+      std::erase_if(this->Links,
+                    [&](const auto &Entry) { return Entry.first != Host; });
     }
     Leads = true;
     this->Following = true;
@@ -153,9 +153,8 @@
       this->State.Routes ? this->State.Routes->catalog().Version : 0;
   if (Update.version() > Held && !Update.text().empty()) {
     Findings Out;
-    std::optional<Catalog> Decoded =
-        this->Dialect.readCatalog(
-            decompress(Update.text(), MostCatalogBytes).value_or(""), Out);
+    std::optional<Catalog> Decoded = this->Dialect.readCatalog(
+        decompress(Update.text(), MostCatalogBytes).value_or(""), Out);
     if (!Decoded) {
       logEvent(Severity::Error, "catalog-unreadable",
                {{"version", static_cast<std::int64_t>(Update.version())},
@@ -222,8 +221,8 @@
     message::PlaceLoadMessage &Message = *Call.add_loads();
     Message.set_place(Load.Name);
     Message.set_in_flight(Load.InFlight);
-    Message.set_since_event_ms(
-        Load.SinceEvent ? milliseconds(*Load.SinceEvent) : -1);
+    Message.set_since_event_ms(Load.SinceEvent ? milliseconds(*Load.SinceEvent)
+                                               : -1);
     Message.set_silent(Load.Silent);
   }
   HostName Asked = this->Leader;
--- a/Libraries/LibEntry/DispatchBoard.cpp
+++ b/Libraries/LibEntry/DispatchBoard.cpp
@@ -92,9 +92,9 @@
 
 /// A group beyond its slots makes all wait; a plain endpoint queues a few.
 bool DispatchBoard::isFull(const Known &Candidate) const {
-  double Most = Candidate.Is.Slots *
-                (Candidate.Is.Model.empty() ? this->Options.PlainQueue
-                                            : this->Options.GroupFill);
+  double Most = Candidate.Is.Slots * (Candidate.Is.Model.empty()
+                                          ? this->Options.PlainQueue
+                                          : this->Options.GroupFill);
   return Candidate.InFlight + Candidate.Others >= Most;
 }
 
@@ -140,7 +140,8 @@
     return Choice;
   std::ranges::shuffle(Candidates, this->Random);
   Known *Best = Candidates.front();
-  if (Candidates.size() > 1 && this->cost(Now, *Candidates[1]) < this->cost(Now, *Best))
+  if (Candidates.size() > 1 &&
+      this->cost(Now, *Candidates[1]) < this->cost(Now, *Best))
     Best = Candidates[1];
   if (Now < Best->Is.ColdUntil)
     Best->ColdNext = Now + this->coldPause(Service);
@@ -222,8 +223,8 @@
     TimePoint Newest = Its.LastProgress;
     if (Where.LastEvent)
       Newest = std::max(Newest, *Where.LastEvent);
-    Duration Limit = Its.Begun ? this->Options.SilentStream
-                               : this->Options.SilentStart;
+    Duration Limit =
+        Its.Begun ? this->Options.SilentStream : this->Options.SilentStart;
     Duration Early = this->Options.SilentStream - this->Options.Suspicious;
     bool Known = Where.SuspiciousSince &&
                  Now - *Where.SuspiciousSince < this->Options.SilenceLasts;
--- a/Libraries/LibEntry/DispatchBoard.h
+++ b/Libraries/LibEntry/DispatchBoard.h
@@ -141,9 +141,10 @@
   /// A place that may take a request now. Of two drawn by lot the better one:
   /// what others send is known late, and entry hosts that all took the best
   /// place would meet there. \p EvenFull: for requests that were admitted.
-  [[nodiscard]] DispatchChoice
-  choose(TimePoint Now, const ServiceName &Service, const ModelName &Model,
-         std::span<const PlaceName> Avoid, bool EvenFull = false);
+  [[nodiscard]] DispatchChoice choose(TimePoint Now, const ServiceName &Service,
+                                      const ModelName &Model,
+                                      std::span<const PlaceName> Avoid,
+                                      bool EvenFull = false);
 
   AttemptNumber begin(TimePoint Now, const PlaceName &Name, bool Streams);
   /// The attempt got its first bytes, or a further event.
--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -110,8 +110,8 @@
   while (monotonicNow() < End && this->Callers.activeExchanges() > 0)
     co_await Pause.wait(std::chrono::milliseconds(100));
   logEvent(Severity::Info, "stopped",
-           {{"cut_off", static_cast<std::int64_t>(
-                            this->Callers.activeExchanges())}});
+           {{"cut_off",
+             static_cast<std::int64_t>(this->Callers.activeExchanges())}});
 }
 
 } // namespace carobhinge
--- a/Libraries/LibEntry/EntryState.cpp
+++ b/Libraries/LibEntry/EntryState.cpp
@@ -11,7 +11,8 @@
 static constexpr auto RevocationMargin = std::chrono::milliseconds(400);
 
 EntryState::EntryState(const HostSettings &Own)
-    : Own(Own), Board({.FailureDomain = Own.FailureDomain, .Seed = hash64(Own.Ip)}),
+    : Own(Own),
+      Board({.FailureDomain = Own.FailureDomain, .Seed = hash64(Own.Ip)}),
       Lease(Own.Bounds.RevocationTime - RevocationMargin) {}
 
 RepeatBudget &EntryState::budget(const ServiceName &Service) {
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -49,9 +49,9 @@
   for (const auto &[Name, ByRank] : Found) {
     const EngineReport &First = ByRank.begin()->second->Report;
     const Service *Of = InForce.service(First.Service);
-    const ModelSpec *Model =
-        Of != nullptr && Of->Engine ? Of->Engine->model(modelOfGroup(Name))
-                                    : nullptr;
+    const ModelSpec *Model = Of != nullptr && Of->Engine
+                                 ? Of->Engine->model(modelOfGroup(Name))
+                                 : nullptr;
     if (Model == nullptr)
       continue;
     PlannedGroup Group{.Name = Name,
--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -29,8 +29,7 @@
 /// Whether the engine can join a group of \p Model without a load.
 bool FormationPlanner::holds(const EngineRecord &Record,
                              const ModelName &Model) const {
-  if (Record.Report.Group &&
-      Record.Report.Group->State == MemberState::Joining)
+  if (Record.Report.Group && Record.Report.Group->State == MemberState::Joining)
     return false;
   return std::ranges::find(Record.Report.Staged, Model) !=
          Record.Report.Staged.end();
@@ -198,8 +197,8 @@
     const auto Found = this->Assigned.find(Fabric);
     const ModelSpec *Model =
         Found == this->Assigned.end() ? nullptr : Spec.model(Found->second);
-    bool Serves = Model != nullptr &&
-                  (Its.Groups > 0 || Its.Engines >= Model->GroupSize);
+    bool Serves =
+        Model != nullptr && (Its.Groups > 0 || Its.Engines >= Model->GroupSize);
     if (Serves)
       continue;
     Waiting[Its.Place].push_back(Fabric);
@@ -281,11 +280,11 @@
   for (const EngineRecord *Each : Its.Free)
     if (this->holds(*Each, Model.Name))
       Holders.push_back(Each);
-  bool Untouched = Its.Groups == 0 &&
-                   std::ranges::none_of(Its.Free, [&](const auto *Each) {
-                     return !Each->Report.Staged.empty() ||
-                            this->Reserves.contains(Each->Report.Id);
-                   });
+  bool Untouched =
+      Its.Groups == 0 && std::ranges::none_of(Its.Free, [&](const auto *Each) {
+        return !Each->Report.Staged.empty() ||
+               this->Reserves.contains(Each->Report.Id);
+      });
   // Before service begins loads are quick; later, reserves load first.
   if (Untouched && !this->TrafficBegan)
     Holders = Its.Free;
@@ -372,8 +371,8 @@
   int Under = this->loading();
   for (const Candidate &Next : ToLoad) {
     // Before service begins loads are quick and not limited.
-    if (this->TrafficBegan && (Under >= Spec.ConcurrentLoads ||
-                               !this->takeLoad(Now, Spec)))
+    if (this->TrafficBegan &&
+        (Under >= Spec.ConcurrentLoads || !this->takeLoad(Now, Spec)))
       break;
     ++Under;
     this->makeReserve(Now, Of, Next.Model->Name, *Next.Engine);
--- a/Libraries/LibFormation/GroupNames.h
+++ b/Libraries/LibFormation/GroupNames.h
@@ -18,11 +18,13 @@
 
 namespace carobhinge {
 
-inline GroupName servingGroupName(const ModelName &Model, std::uint64_t Number) {
+inline GroupName servingGroupName(const ModelName &Model,
+                                  std::uint64_t Number) {
   return Model + ".g-" + std::to_string(Number);
 }
 
-inline GroupName reserveGroupName(const ModelName &Model, std::uint64_t Number) {
+inline GroupName reserveGroupName(const ModelName &Model,
+                                  std::uint64_t Number) {
   return Model + ".r-" + std::to_string(Number);
 }
 
@@ -33,7 +35,8 @@
 
 inline bool isReserveName(std::string_view Name) {
   std::size_t Dot = Name.rfind('.');
-  return Dot != std::string_view::npos && Name.substr(Dot + 1).starts_with("r-");
+  return Dot != std::string_view::npos &&
+         Name.substr(Dot + 1).starts_with("r-");
 }
 
 } // namespace carobhinge
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -156,7 +156,8 @@
   std::lock_guard Guard(this->Lock);
   std::vector<IdleConnection> &Pool = this->Idle[Address];
   if (Age > Duration::zero() && Pool.size() < MaxIdlePerAddress)
-    Pool.push_back({.Stream = std::move(Stream), .Until = monotonicNow() + Age});
+    Pool.push_back(
+        {.Stream = std::move(Stream), .Until = monotonicNow() + Age});
 }
 
 void HttpClient::Implementation::dropIdle(const std::string &Address) {
--- a/Libraries/LibSettings/HostSettings.cpp
+++ b/Libraries/LibSettings/HostSettings.cpp
@@ -71,8 +71,8 @@
   Result.FirstStart = Reader.optionalBool("first_start", false);
   if (Reader.has("data_folder"))
     Result.DataFolder = Reader.optionalString("data_folder", "");
-  Result.ReportInterval = readMilliseconds(Reader, "report_interval_ms",
-                                           Result.ReportInterval);
+  Result.ReportInterval =
+      readMilliseconds(Reader, "report_interval_ms", Result.ReportInterval);
   Reader.optionalObject("faults_borne", [&](JsonReader &Each) {
     Result.Borne.Hosts = static_cast<int>(
         Each.optionalInteger("hosts", 1, {.Least = 0, .Most = 1000}));
--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -267,6 +267,31 @@
             Before + Small.EntriesInFlight);
 }
 
+TEST_F(ReplicaTest, ANewHostFindsALeaderThatIsNoneOfTheFirstHosts) {
+  // The voters move to d, e and f; then the first hosts are gone.
+  this->start({.Hosts = Three, .Spares = {"d", "e", "f"}});
+  this->Cluster->with(this->Leader, [&](Replica &Known, TimePoint Now) {
+    EXPECT_TRUE(Known.changeHosts(Now, {"d", "e", "f"}));
+  });
+  this->Cluster->advance(30s);
+  for (const HostName &Host : Three)
+    this->Cluster->kill(Host);
+  this->Cluster->advance(10s);
+  HostName Leader = this->Cluster->leader();
+  ASSERT_NE(Leader, "");
+  // g knows a, b and c from its settings; others told it of the leader.
+  this->Cluster->restart("g");
+  this->Cluster->with("g", [&](Replica &Known, TimePoint) {
+    Known.meet({"d", "e", "f"});
+  });
+  this->Cluster->with(Leader, [&](Replica &Known, TimePoint Now) {
+    EXPECT_TRUE(Known.changeHosts(Now, {"d", "e", "f", "g"}));
+  });
+  this->Cluster->advance(20s);
+  EXPECT_EQ(this->Cluster->replica(Leader).log().configuration().voters_size(),
+            4);
+}
+
 TEST_F(ReplicaTest, VotersMoveOneByOneToOtherHosts) {
   this->start({.Hosts = Three, .Bounds = Small, .Spares = {"d", "e"}});
   this->commit(30);
--- a/Tests/LibControl/TestControlHosts.cpp
+++ b/Tests/LibControl/TestControlHosts.cpp
@@ -15,8 +15,7 @@
   ControlHosts Result("h00", "d0");
   for (int Domain = 0; Domain < Domains; ++Domain)
     for (int I = 0; I < PerDomain; ++I)
-      Result.heard(Start,
-                   "h" + std::to_string(Domain) + std::to_string(I),
+      Result.heard(Start, "h" + std::to_string(Domain) + std::to_string(I),
                    "d" + std::to_string(Domain));
   return Result;
 }
--- a/Tests/LibEntry/TestDispatchBoard.cpp
+++ b/Tests/LibEntry/TestDispatchBoard.cpp
@@ -107,8 +107,8 @@
   for (int I = 0; I < 3; ++I)
     Board.begin(Much, "g1", true);
   for (int I = 0; I < 50; ++I)
-    Again = Again ||
-            Board.choose(Much, "sheets", "large", {}).Where->Name == "g0";
+    Again =
+        Again || Board.choose(Much, "sheets", "large", {}).Where->Name == "g0";
   EXPECT_TRUE(Again);
 }
 
@@ -176,9 +176,9 @@
     Board.end(Now, Failed, AttemptEnd::Unreachable);
   }
   for (int I = 0; I < 20; ++I)
-    EXPECT_EQ(
-        Board.choose(Now + 900 * Millisecond, "sheets", "large", {}).Where->Name,
-        "g1");
+    EXPECT_EQ(Board.choose(Now + 900 * Millisecond, "sheets", "large", {})
+                  .Where->Name,
+              "g1");
 }
 
 TEST(DispatchBoard, ANewListOfMembersIsJudgedAnew) {
--- a/Tests/LibFormation/FormationWorld.cpp
+++ b/Tests/LibFormation/FormationWorld.cpp
@@ -89,8 +89,8 @@
   if (!Engine.Alive || Engine.CutOff)
     return;
   const auto &Group = Engine.Report.Group;
-  bool Fits = Group && Group->Group == Order.Group &&
-              Group->Epoch == Order.Epoch;
+  bool Fits =
+      Group && Group->Group == Order.Group && Group->Epoch == Order.Epoch;
   OrderResult Result = OrderResult::Accepted;
   if (Order.Verb == OrderVerb::Join && Order.Epoch < Engine.HighestEpoch)
     Result = OrderResult::Outdated;
@@ -127,11 +127,11 @@
   Engine.InMemory = Order.Model;
   Engine.HighestEpoch = Order.Epoch;
   auto Rank = std::ranges::find(Order.Members, Order.To);
-  Engine.Report.Group = GroupMembership{
-      .Group = Order.Group,
-      .Epoch = Order.Epoch,
-      .Rank = static_cast<int>(Rank - Order.Members.begin()),
-      .State = MemberState::Joining};
+  Engine.Report.Group =
+      GroupMembership{.Group = Order.Group,
+                      .Epoch = Order.Epoch,
+                      .Rank = static_cast<int>(Rank - Order.Members.begin()),
+                      .State = MemberState::Joining};
 }
 
 void FormationWorld::open(FakeEngine &Engine, const EngineOrder &Order) {
--- a/Tests/LibFormation/TestFormationPlanner.cpp
+++ b/Tests/LibFormation/TestFormationPlanner.cpp
@@ -8,8 +8,8 @@
 #include "FormationWorld.h"
 
 #include <gtest/gtest.h>
-#include <rapidcheck/gtest.h>
 #include <random>
+#include <rapidcheck/gtest.h>
 #include <set>
 
 using namespace carobhinge;
--- a/Tests/LibFormation/TestLossWatch.cpp
+++ b/Tests/LibFormation/TestLossWatch.cpp
@@ -17,14 +17,14 @@
 
   void hear(const EndpointName &Id, std::uint64_t Epoch) {
     this->Engines.accept(
-        this->Now,
-        {.Id = Id,
-         .Address = Id,
-         .Service = "sheets",
-         .Sequence = ++this->Sequence,
-         .Group = GroupMembership{
-             .Group = "g", .Epoch = Epoch, .Rank = 0,
-             .State = MemberState::Open}});
+        this->Now, {.Id = Id,
+                    .Address = Id,
+                    .Service = "sheets",
+                    .Sequence = ++this->Sequence,
+                    .Group = GroupMembership{.Group = "g",
+                                             .Epoch = Epoch,
+                                             .Rank = 0,
+                                             .State = MemberState::Open}});
   }
 
   EngineRegister Engines;
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -232,11 +232,11 @@
   Options.Belongs = [](const HttpResponseHead &Head) {
     return Head.Headers.value("Id") == "mine";
   };
-  auto Future = asio::co_spawn(
-      Context,
-      Client.fetch(Endpoint.address(), {.Method = "GET", .Target = "/"},
-                   Options, 4096),
-      asio::use_future);
+  auto Future = asio::co_spawn(Context,
+                               Client.fetch(Endpoint.address(),
+                                            {.Method = "GET", .Target = "/"},
+                                            Options, 4096),
+                               asio::use_future);
   Context.run();
   return Future.get();
 }
