LibTelemetry: Write logs to standard output without ever waiting

Cause: the users want structured lines on standard output, bounded under load, that never block; glog writes to standard error and waits for its reader. Ruled out: a writer thread (a wake-up for each line is charged). Requests that end badly are warnings.

--- a/Carobhinge/HostCommands.cpp
+++ b/Carobhinge/HostCommands.cpp
@@ -74,7 +74,7 @@
                  Error.what());
     return ExitUsage;
   }
-  startLog({.Host = Own.Host, .Folder = "", .Least = Severity::Info});
+  startLog({.Host = Own.Host, .Folder = "", .ToStandardOutput = true});
   std::signal(SIGPIPE, SIG_IGN);
   try {
     return Run(Own);
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -62,7 +62,8 @@
   WorkspaceName Name = this->Holder != nullptr ? this->Holder->Name : "none";
   TrafficClass For{.Workspace = Name, .Class = std::string(Class)};
   this->Shared.Figures.countOutcome(For, Outcome, Reason);
-  logEvent(Severity::Info, "request",
+  bool Good = Outcome == "answered";
+  logEvent(Good ? Severity::Info : Severity::Warning, "request",
            {{"request", this->Call.AttemptId},
             {"route", Class},
             {"workspace", Name},
--- a/Libraries/LibTelemetry/Log.cpp
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -5,6 +5,7 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include <LibTelemetry/LineSink.h>
 #include <LibTelemetry/Log.h>
 
 #include <array>
@@ -12,6 +13,7 @@
 #include <chrono>
 #include <ctime>
 #include <glog/logging.h>
+#include <memory>
 
 namespace json = boost::json;
 
@@ -23,8 +25,15 @@
 /// Set by startLog() before any other thread runs.
 static LogOptions Started;
 
+/// Set where lines go to standard output; glog doesn't write then.
+static std::unique_ptr<LineSink> Output;
+
 void startLog(const LogOptions &Options) {
   Started = Options;
+  if (Options.ToStandardOutput) {
+    Output = std::make_unique<LineSink>(LineSinkOptions());
+    return;
+  }
   FLAGS_log_prefix = false;
   FLAGS_timestamp_in_logfile_name = true;
   FLAGS_logtostderr = Options.Folder.empty();
@@ -34,7 +43,10 @@
   google::InitGoogleLogging("carobhinge");
 }
 
-void flushLog() { google::FlushLogFiles(google::GLOG_INFO); }
+void flushLog() {
+  if (!Output)
+    google::FlushLogFiles(google::GLOG_INFO);
+}
 
 static json::object lineFields(Severity How, std::string_view Event,
                                std::initializer_list<LogField> Fields) {
@@ -77,11 +89,21 @@
               std::initializer_list<LogField> Fields) {
   if (How < Started.Least)
     return;
+  if (Output && !Output->admit(monotonicNow(), Event))
+    return;
   json::object Line;
   Line["time"] = wallClockText();
   for (auto &Member : lineFields(How, Event, Fields))
     Line[Member.key()] = std::move(Member.value());
   std::string Text = json::serialize(Line);
+  if (Output) {
+    if (std::uint64_t Omitted = Output->takeOmitted())
+      Output->write(
+          formatLogLine(Severity::Warning, "log-lines-omitted",
+                        {{"count", static_cast<std::int64_t>(Omitted)}}),
+          true);
+    return Output->write(std::move(Text), How != Severity::Info);
+  }
   switch (How) {
   case Severity::Info:
     LOG(INFO) << Text;
--- a/Libraries/LibTelemetry/Log.h
+++ b/Libraries/LibTelemetry/Log.h
@@ -31,6 +31,8 @@
   /// Where files are written; empty means standard error.
   std::string Folder;
   Severity Least = Severity::Info;
+  /// Lines go to standard output, through a LineSink, instead.
+  bool ToStandardOutput = false;
 };
 
 /// Called once, before the first line is written.
