LibCommands, LibEntry: Explain a request from the logs; serve metrics

Cause: on-call engineers need to get from a request's id to its cause. Change: a line for each attempt that an endpoint didn't answer, with what decided it; the request's last line carries load, catalog version and age of the confirmation; carobhinge explain ID FILE... tells the story and the cause; figures at the metrics port. The linter found a view of a temporary in the request's line (mended).

--- a/Carobhinge/Commands.h
+++ b/Carobhinge/Commands.h
@@ -18,6 +18,8 @@
 
 /// The commands entry and control.
 void addHostCommands(CLI::App &To, int &Exit);
+/// The command explain.
+void addExplainCommand(CLI::App &To, int &Exit);
 void addStandInCommands(CLI::App &To, int &Exit);
 void addOperatorCommands(CLI::App &To, int &Exit);
 
--- a/Carobhinge/main.cpp
+++ b/Carobhinge/main.cpp
@@ -20,6 +20,7 @@
   int Exit = ExitSuccess;
   addServeCommand(App, Exit);
   addHostCommands(App, Exit);
+  addExplainCommand(App, Exit);
   addOperatorCommands(App, Exit);
   addStandInCommands(App, Exit);
   try {
--- a/Libraries/LibControl/AgreedState.cpp
+++ b/Libraries/LibControl/AgreedState.cpp
@@ -29,9 +29,9 @@
 static constexpr ReplicaBounds LogBounds{
     .SnapshotEntries = 32, .SnapshotShare = 4, .EntriesKept = 32};
 
-AgreedState::AgreedState(asio::any_io_executor Executor,
+AgreedState::AgreedState(const asio::any_io_executor &Executor,
                          const HostSettings &Own, std::vector<HostName> First,
-                         Sender Send, Observer Changed)
+                         const Sender &Send, const Observer &Changed)
     : Executor(Executor),
       Register([this, Executor, Changed](const message::RegisterState &State) {
         asio::post(Executor, [this, State, Changed] {
--- a/Libraries/LibControl/AgreedState.h
+++ b/Libraries/LibControl/AgreedState.h
@@ -34,8 +34,9 @@
 
   /// Opens the files in the data folder. \p First are the hosts of the first
   /// voters. \throws DiskError, DamageError
-  AgreedState(boost::asio::any_io_executor Executor, const HostSettings &Own,
-              std::vector<HostName> First, Sender Send, Observer Changed);
+  AgreedState(const boost::asio::any_io_executor &Executor,
+              const HostSettings &Own, std::vector<HostName> First,
+              const Sender &Send, const Observer &Changed);
   ~AgreedState();
 
   void receive(const HostName &From, const message::ConsensusMessage &Message);
--- a/Libraries/LibControl/EntryWatchers.h
+++ b/Libraries/LibControl/EntryWatchers.h
@@ -19,8 +19,8 @@
 
 class EntryWatchers {
 public:
-  EntryWatchers(boost::asio::any_io_executor Executor, AgreedState &State,
-                GroupForeman &Foreman, ControlHosts &Hosts,
+  EntryWatchers(const boost::asio::any_io_executor &Executor,
+                AgreedState &State, GroupForeman &Foreman, ControlHosts &Hosts,
                 std::function<void()> OnSuspicion)
       : Executor(Executor), State(State), Foreman(Foreman), Hosts(Hosts),
         OnSuspicion(std::move(OnSuspicion)),
--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -26,10 +26,10 @@
   return {.ReportInterval = Own.ReportInterval};
 }
 
-GroupForeman::GroupForeman(asio::any_io_executor Executor,
+GroupForeman::GroupForeman(const asio::any_io_executor &Executor,
                            const HostSettings &Own,
                            const ControlDialect &Dialect)
-    : Executor(Executor), Own(Own), Dialect(Dialect),
+    : Executor(Executor), Dialect(Dialect),
       Client(Executor, {.SingleThread = true}),
       Watch(watchOptions(Own), this->Engines), Planner({}, this->Engines) {}
 
@@ -240,14 +240,15 @@
          (Left.cold_left_ms() > 0) == (Right.cold_left_ms() > 0);
 }
 
-bool GroupForeman::publish(std::map<std::string, message::PlaceMessage> Fresh) {
+bool GroupForeman::publish(
+    const std::map<std::string, message::PlaceMessage> &Fresh) {
   std::uint64_t Next = this->PlaceRevision + 1;
   bool Changed = false;
-  for (auto &[Name, Message] : Fresh) {
+  for (const auto &[Name, Message] : Fresh) {
     PlaceState &Known = this->Places[Name];
     if (Known.Revision > 0 && !Known.Removed && sameBut(Known.Message, Message))
       continue;
-    Known = {.Message = std::move(Message), .Revision = Next, .Removed = false};
+    Known = {.Message = Message, .Revision = Next, .Removed = false};
     Changed = true;
   }
   for (auto &[Name, Known] : this->Places)
--- a/Libraries/LibControl/GroupForeman.h
+++ b/Libraries/LibControl/GroupForeman.h
@@ -23,8 +23,8 @@
 
 class GroupForeman {
 public:
-  GroupForeman(boost::asio::any_io_executor Executor, const HostSettings &Own,
-               const ControlDialect &Dialect);
+  GroupForeman(const boost::asio::any_io_executor &Executor,
+               const HostSettings &Own, const ControlDialect &Dialect);
 
   /// Takes in a report. \returns whether it was news.
   bool report(TimePoint HeardAt, EngineReport Report);
@@ -64,10 +64,9 @@
   boost::asio::awaitable<void> giveOrder(EngineOrder Order);
   [[nodiscard]] std::map<std::string, message::PlaceMessage>
   derivePlaces(TimePoint Now, const Catalog &InForce) const;
-  bool publish(std::map<std::string, message::PlaceMessage> Fresh);
+  bool publish(const std::map<std::string, message::PlaceMessage> &Fresh);
 
   boost::asio::any_io_executor Executor;
-  const HostSettings &Own;
   const ControlDialect &Dialect;
   HttpClient Client;
   EngineRegister Engines;
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -58,10 +58,14 @@
 }
 
 void CallerSession::note(std::string_view Outcome, std::string_view Reason) {
-  std::string_view Class = this->Rule != nullptr ? this->Rule->Name : "none";
+  std::string Class = this->Rule != nullptr ? this->Rule->Name : "none";
   WorkspaceName Name = this->Holder != nullptr ? this->Holder->Name : "none";
-  TrafficClass For{.Workspace = Name, .Class = std::string(Class)};
+  TrafficClass For{.Workspace = Name, .Class = Class};
   this->Shared.Figures.countOutcome(For, Outcome, Reason);
+  this->Shared.Figures.observe(For, RequestTiming::Total,
+                               monotonicNow() - this->ArrivedAt);
+  auto Load = this->Shared.State.Board.load(this->Target, this->Call.Model);
+  std::optional<Duration> Age = this->Shared.State.Lease.age(monotonicNow());
   bool Good = Outcome == "answered";
   logEvent(Good ? Severity::Info : Severity::Warning, "request",
            {{"request", this->Call.AttemptId},
@@ -71,6 +75,13 @@
             {"reason", Reason},
             {"endpoint", this->LastEndpoint},
             {"attempts", this->Attempts},
+            {"model", this->Call.Model},
+            {"in_flight", Load.InFlight},
+            {"slots", Load.Slots},
+            {"catalog_version",
+             static_cast<std::int64_t>(
+                 this->Routes ? this->Routes->catalog().Version : 0)},
+            {"confirmation_age_ms", Age ? milliseconds(*Age) : -1},
             {"took_ms", milliseconds(monotonicNow() - this->ArrivedAt)}});
 }
 
@@ -218,12 +229,14 @@
   if (End == HttpCallEnd::NotWritten) {
     Board.end(Now, this->Number,
               OwnEnd ? AttemptEnd::Dropped : AttemptEnd::Unreachable);
+    this->noteAttempt(OwnEnd ? AttemptEnd::Dropped : AttemptEnd::Unreachable);
     co_return OwnEnd ? Verdict::GiveUp : Verdict::TryAgain;
   }
   ++this->Sent;
   bool Whole = End == HttpCallEnd::Complete && this->HasHead;
   if (Whole && this->Answer.NotRun) {
     Board.end(Now, this->Number, AttemptEnd::Refused);
+    this->noteAttempt(AttemptEnd::Refused);
     co_return Verdict::TryAgain;
   }
   // From here on an endpoint may have run it.
@@ -237,6 +250,8 @@
   if (Whole && this->Streaming && this->Events.broken())
     How = AttemptEnd::Lost;
   Board.end(Now, this->Number, How);
+  if (How != AttemptEnd::Answered)
+    this->noteAttempt(How);
   if (How == AttemptEnd::Dropped)
     co_return Verdict::GiveUp;
   if (this->Streaming) {
@@ -289,6 +304,60 @@
   co_await this->Exchange.respond(std::move(Unknown));
 }
 
+static std::string_view endName(AttemptEnd How) {
+  switch (How) {
+  case AttemptEnd::Answered:
+    return "answered";
+  case AttemptEnd::Refused:
+    return "refused-by-endpoint";
+  case AttemptEnd::Failed:
+    return "endpoint-failed";
+  case AttemptEnd::Unreachable:
+    return "unreachable";
+  case AttemptEnd::Lost:
+    return "lost";
+  case AttemptEnd::Dropped:
+    return "given-up-here";
+  }
+  return "";
+}
+
+/// One line for each attempt that an endpoint didn't answer.
+void CallerSession::noteAttempt(AttemptEnd How) {
+  std::string_view Why = this->Abandoned               ? "place stood still"
+                         : this->Expired               ? "out of time"
+                         : this->Exchange.callerGone() ? "caller gone"
+                                                       : "";
+  auto Load = this->Shared.State.Board.load(this->Target, this->Call.Model);
+  logEvent(Severity::Warning, "attempt",
+           {{"request", this->Call.AttemptId},
+            {"endpoint", this->LastEndpoint},
+            {"place", this->Tried.back()},
+            {"end", endName(How)},
+            {"reason", Why},
+            {"status", static_cast<std::int64_t>(
+                           this->HasHead ? this->AnswerHeadFields.Status : 0)},
+            {"last_event",
+             static_cast<std::int64_t>(this->Events.last().value_or(0))},
+            {"in_flight", Load.InFlight},
+            {"slots", Load.Slots},
+            {"after_ms", milliseconds(monotonicNow() - this->ArrivedAt)}});
+}
+
+void CallerSession::observeEvent() {
+  TimePoint Now = monotonicNow();
+  TrafficClass For{.Workspace =
+                       this->Holder != nullptr ? this->Holder->Name : "none",
+                   .Class = this->Rule->Name};
+  if (this->LastEventAt)
+    this->Shared.Figures.observe(For, RequestTiming::BetweenChunks,
+                                 Now - *this->LastEventAt);
+  else
+    this->Shared.Figures.observe(For, RequestTiming::FirstByte,
+                                 Now - this->ArrivedAt);
+  this->LastEventAt = Now;
+}
+
 asio::awaitable<void> CallerSession::head(const HttpResponseHead &Head) {
   this->HasHead = true;
   this->AnswerHeadFields = Head;
@@ -312,6 +381,7 @@
   std::string Events = this->Events.take(Data);
   if (Events.empty())
     co_return;
+  this->observeEvent();
   this->Shared.State.Board.progressed(monotonicNow(), this->Number);
   co_await this->Exchange.writeChunk(std::move(Events));
 }
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -67,6 +67,8 @@
     return this->Deadline - monotonicNow();
   }
   void note(std::string_view Outcome, std::string_view Reason);
+  void noteAttempt(AttemptEnd How);
+  void observeEvent();
 
   SessionContext &Shared;
   HttpExchange &Exchange;
@@ -89,6 +91,7 @@
   bool Streaming = false;
   bool Abandoned = false;
 
+  std::optional<TimePoint> LastEventAt;
   /// Whether the caller's stream was started.
   bool Started = false;
   /// An attempt that an endpoint may have run.
--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -40,6 +40,12 @@
                 [this](HttpExchange &Exchange) {
                   return this->tellReadiness(Exchange);
                 }),
+      MetricsServer(Context.get_executor(),
+                    {.Listen = this->Own.Ip + ":" +
+                               std::to_string(this->Own.MetricsPort)},
+                    [this](HttpExchange &Exchange) {
+                      return this->tellMetrics(Exchange);
+                    }),
       Follower(Context, this->State, Control, [this] { this->applyLimits(); }) {
 }
 
@@ -47,6 +53,7 @@
   logEvent(Severity::Info, "start", {{"role", "entry"}});
   this->Callers.start();
   this->Readiness.start();
+  this->MetricsServer.start();
   this->Follower.start();
   asio::co_spawn(this->Context, this->watchLoop(), asio::detached);
 }
@@ -79,6 +86,24 @@
   co_await Exchange.respond(std::move(Answer));
 }
 
+asio::awaitable<void> EntryProcess::tellMetrics(HttpExchange &Exchange) {
+  TimePoint Now = monotonicNow();
+  if (this->State.Routes)
+    this->Figures.setGauge(
+        "catalog_version",
+        static_cast<double>(this->State.Routes->catalog().Version));
+  if (auto Age = this->State.Lease.age(Now))
+    this->Figures.setGauge("confirmation_age_seconds",
+                           std::chrono::duration<double>(*Age).count());
+  this->Figures.setGauge("entry_hosts", this->State.EntryHosts);
+  this->Figures.setGauge("ready", this->isReady(Now) ? 1 : 0);
+  HttpResponse Answer{.Status = 200,
+                      .ContentType = "text/plain; version=0.0.4",
+                      .Headers = {},
+                      .Body = this->Figures.render()};
+  co_await Exchange.respond(std::move(Answer));
+}
+
 asio::awaitable<void> EntryProcess::watchLoop() {
   asio::steady_timer Timer(this->Context);
   auto Token = asio::as_tuple(asio::use_awaitable);
--- a/Libraries/LibEntry/EntryProcess.h
+++ b/Libraries/LibEntry/EntryProcess.h
@@ -33,6 +33,7 @@
 private:
   boost::asio::awaitable<void> serve(HttpExchange &Exchange);
   boost::asio::awaitable<void> tellReadiness(HttpExchange &Exchange);
+  boost::asio::awaitable<void> tellMetrics(HttpExchange &Exchange);
   boost::asio::awaitable<void> watchLoop();
   [[nodiscard]] bool isReady(TimePoint Now) const;
   void applyLimits();
@@ -45,6 +46,7 @@
   SessionContext Shared;
   HttpServer Callers;
   HttpServer Readiness;
+  HttpServer MetricsServer;
   ControlFollower Follower;
 };
 
--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -146,7 +146,8 @@
 
 /// Engines of a domain that groups of \p Model can use.
 static double servingEngines(const ModelSpec &Model, int Engines) {
-  return static_cast<double>(Engines / Model.GroupSize * Model.GroupSize);
+  int Groups = Engines / Model.GroupSize;
+  return Groups * Model.GroupSize;
 }
 
 /// The model that is served worst for its share of the work, and that the
--- a/Meta/CMake/LibServe.cmake
+++ b/Meta/CMake/LibServe.cmake
@@ -15,6 +15,7 @@
   carobhinge
   ${CMAKE_SOURCE_DIR}/Carobhinge/main.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/ServeCommand.cpp
+  ${CMAKE_SOURCE_DIR}/Carobhinge/ExplainCommand.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/HostCommands.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/StandInCommand.cpp
   ${CMAKE_SOURCE_DIR}/Carobhinge/OperatorCommands.cpp)
--- /dev/null
+++ b/Tests/LibCommands/TestRequestStory.cpp
@@ -0,0 +1,63 @@
+//===- Tests/LibCommands/TestRequestStory.cpp - Three kinds of failure ----===//
+///
+/// \file
+/// Lines as the processes write them, for a request that was refused, one that
+/// was cut off and one whose end isn't told.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibCommands/RequestStory.h>
+#include <gtest/gtest.h>
+
+using namespace carobhinge;
+
+static std::string told(const std::string &Id,
+                        std::initializer_list<std::string_view> Lines) {
+  RequestStory Story(Id);
+  for (std::string_view Line : Lines)
+    Story.take(Line);
+  return Story.tell().Text;
+}
+
+static constexpr std::string_view Refused =
+    R"({"time":"T2","severity":"warning","host":"e1","event":"request",)"
+    R"("request":"a","outcome":"refused","reason":"all places are full",)"
+    R"("in_flight":70,"slots":78,"took_ms":1})";
+
+TEST(RequestStory, ARefusalNamesWhatWasFull) {
+  std::string Text = told("a", {Refused, "no json"});
+  EXPECT_NE(Text.find("cause: It was refused and did not run: all places are "
+                      "full (70 requests in progress on 78 slots)."),
+            std::string::npos)
+      << Text;
+  EXPECT_NE(Text.find("not read: 1 lines"), std::string::npos);
+}
+
+TEST(RequestStory, ACutStreamLeadsToTheLostEngineOfItsGroup) {
+  std::string Text = told(
+      "b",
+      {R"({"time":"T9","host":"e1","event":"request","request":"b",)"
+       R"("outcome":"cut-off","reason":"repeat not allowed"})",
+       R"({"time":"T4","host":"c1","event":"engine-lost","endpoint":"x",)"
+       R"("group":"g","heard_ms_ago":900})",
+       R"({"time":"T5","host":"e1","event":"attempt","request":"b",)"
+       R"("endpoint":"h","place":"g","end":"lost",)"
+       R"("reason":"place stood still"})",
+       R"({"time":"T1","host":"e1","event":"log-lines-omitted","count":7})",
+       Refused});
+  EXPECT_LT(Text.find("T5"), Text.find("T9"));
+  EXPECT_NE(Text.find("engine-lost endpoint=x"), std::string::npos) << Text;
+  EXPECT_NE(Text.find("Its stream was cut off: repeat not allowed; its last "
+                      "attempt at h ended lost because: place stood still."),
+            std::string::npos)
+      << Text;
+  EXPECT_NE(Text.find("7 lines were left out"), std::string::npos);
+  EXPECT_EQ(Text.find("\"a\""), std::string::npos);
+}
+
+TEST(RequestStory, SaysWhatTheLogsDoNotTell) {
+  std::string Text =
+      told("b", {R"({"time":"T5","event":"attempt","request":"b"})"});
+  EXPECT_NE(Text.find("don't tell how the request ended"), std::string::npos);
+  EXPECT_EQ(RequestStory("z").tell().Exit, ExitRefused);
+}
