LibControl: Let entry hosts follow only a confirmed leader

Argued: a leader in the smaller half goes on taking itself for the leader, and entry hosts that watch it stay with it.

--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -79,8 +79,9 @@
           [this](const message::RegisterState &Changed) {
             this->stateChanged(Changed);
           }),
-      Watchers(Context.get_executor(), this->State, this->Foreman, this->Hosts,
-               [this] { this->stepNow(); }),
+      Watchers(
+          Context.get_executor(), this->State, this->Foreman, this->Hosts,
+          [this] { this->stepNow(); }, [this] { return this->leadsForSure(); }),
       Peers(Context.get_executor(),
             this->Own.Ip + ":" + std::to_string(this->Own.PeerPort), this->Wire,
             this->handlers()),
@@ -176,9 +177,7 @@
         asio::detached);
   }
   this->chooseVoters(Now);
-  bool Confirmed =
-      this->ConfirmedAt && Now - *this->ConfirmedAt < PlanningLease;
-  if (!Confirmed || this->InForce.Services.empty())
+  if (!this->leadsForSure() || this->InForce.Services.empty())
     return;
   if (!this->Foreman.leads() || this->LedTerm != Status.Term) {
     this->LedTerm = Status.Term;
@@ -194,6 +193,11 @@
   this->stepNow();
 }
 
+bool ControlProcess::leadsForSure() const {
+  return this->ConfirmedAt &&
+         monotonicNow() - *this->ConfirmedAt < PlanningLease;
+}
+
 void ControlProcess::stepNow() {
   if (this->Foreman.leads() &&
       this->Foreman.step(monotonicNow(), this->InForce))
--- a/Libraries/LibControl/ControlProcess.h
+++ b/Libraries/LibControl/ControlProcess.h
@@ -47,6 +47,7 @@
   boost::asio::awaitable<void> introduceLoop();
   boost::asio::awaitable<void> introduce(HostName To);
   void tick(TimePoint Now);
+  [[nodiscard]] bool leadsForSure() const;
   void stepNow();
   void chooseVoters(TimePoint Now);
   void stateChanged(const message::RegisterState &State);
--- a/Libraries/LibControl/EntryWatchers.cpp
+++ b/Libraries/LibControl/EntryWatchers.cpp
@@ -17,10 +17,6 @@
   Old->fire();
 }
 
-bool EntryWatchers::leads() const {
-  return this->State.status().Current == Role::Leader;
-}
-
 int EntryWatchers::indexOf(const HostName &Host) const {
   return static_cast<int>(
       std::distance(this->Watching.begin(), this->Watching.find(Host)));
@@ -76,7 +72,7 @@
 
 asio::awaitable<void> EntryWatchers::watch(WireExchange &Exchange) {
   HostName Caller = Exchange.caller();
-  if (!this->leads()) {
+  if (!this->Leads()) {
     message::WatchUpdate Update;
     Update.set_not_leading(true);
     Update.set_leader(this->State.status().Leader);
@@ -89,7 +85,7 @@
   this->wake();
   Told So;
   try {
-    while (!Exchange.callerGone() && this->leads()) {
+    while (!Exchange.callerGone() && this->Leads()) {
       std::shared_ptr<Signal> Next = this->Changed;
       message::WatchUpdate Update;
       this->fill(Update, Caller, So);
--- a/Libraries/LibControl/EntryWatchers.h
+++ b/Libraries/LibControl/EntryWatchers.h
@@ -21,9 +21,9 @@
 public:
   EntryWatchers(const boost::asio::any_io_executor &Executor,
                 AgreedState &State, GroupForeman &Foreman, ControlHosts &Hosts,
-                std::function<void()> OnSuspicion)
+                std::function<void()> OnSuspicion, std::function<bool()> Leads)
       : Executor(Executor), State(State), Foreman(Foreman), Hosts(Hosts),
-        OnSuspicion(std::move(OnSuspicion)),
+        OnSuspicion(std::move(OnSuspicion)), Leads(std::move(Leads)),
         Changed(std::make_shared<Signal>(Executor)) {}
 
   /// Something changed; every watcher looks.
@@ -53,7 +53,6 @@
     TimePoint At;
   };
 
-  [[nodiscard]] bool leads() const;
   [[nodiscard]] int indexOf(const HostName &Host) const;
   bool fill(message::WatchUpdate &Update, const HostName &To, Told &So) const;
   void fillTotals(TimePoint Now, message::PulseResult &Result);
@@ -64,6 +63,10 @@
   ControlHosts &Hosts;
   /// An entry host waits for a place in vain.
   std::function<void()> OnSuspicion;
+  /// Whether a majority confirmed lately that this host leads. One that is cut
+  /// off goes on taking itself for the leader, and would keep entry hosts that
+  /// can reach both sides.
+  std::function<bool()> Leads;
   /// Fired and replaced at every change.
   std::shared_ptr<Signal> Changed;
   std::map<HostName, int> Watching;
