LibFormation: Load the model that is served worst first

Ruled out: lost engines (14, none of the ten), engines left alone after a failed join. Change: loads are ordered by the engines that serve the model for its share, then by what completes a group.

--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -330,7 +330,8 @@
 }
 
 /// Lets the engines outside groups hold the model of their domain. Of those
-/// that must load it, the ones that complete a group soonest come first.
+/// that must load it, the ones of the model that is served worst come first,
+/// among them the ones that complete a group soonest.
 void FormationPlanner::keepReserves(TimePoint Now, const Service &Of,
                                     Domains &All) {
   const EngineSpec &Spec = *Of.Engine;
@@ -342,9 +343,15 @@
   struct Candidate {
     const EngineRecord *Engine;
     const ModelSpec *Model;
+    /// Engines that serve the model, for its share of the work.
+    double Served;
     /// Engines that the next group of the domain lacks.
     int Missing;
   };
+  std::map<ModelName, double> Serving;
+  for (const auto &[Name, Group] : this->Groups)
+    if (Group.Phase != GroupPhase::Dissolving)
+      Serving[Group.Model] += static_cast<double>(Group.Members.size());
   std::vector<Candidate> ToLoad;
   for (auto &[Fabric, Its] : All) {
     auto Found = this->Assigned.find(Fabric);
@@ -366,9 +373,15 @@
     }
     int Missing = Model->GroupSize - Held % Model->GroupSize;
     for (const EngineRecord *Each : Empty)
-      ToLoad.push_back({.Engine = Each, .Model = Model, .Missing = Missing--});
+      ToLoad.push_back(
+          {.Engine = Each,
+           .Model = Model,
+           .Served = Serving[Model->Name] / std::max(Model->InitialShare, 0.05),
+           .Missing = Missing--});
   }
-  std::ranges::stable_sort(ToLoad, {}, &Candidate::Missing);
+  std::ranges::stable_sort(ToLoad, {}, [](const Candidate &Each) {
+    return std::pair(Each.Served, Each.Missing);
+  });
   int Under = this->loading();
   for (const Candidate &Next : ToLoad) {
     // Before service begins loads are quick and not limited.
--- a/Tests/LibFormation/TestFormationPlanner.cpp
+++ b/Tests/LibFormation/TestFormationPlanner.cpp
@@ -101,6 +101,24 @@
   EXPECT_LE(Most, 6);
 }
 
+/// Newcomers in all domains, with 24 engines for 0.57 of the work and 27 for
+/// 0.43: the few loads that the store bears at once are the larger model's.
+TEST(FormationPlanner, LoadsGoToTheModelThatIsServedWorst) {
+  FormationWorld World;
+  startService(World);
+  for (const char *Place : {"a", "b", "c"})
+    for (const char *Fabric : {"1", "2"})
+      World.add(Place, std::string(Place) + Fabric, 3);
+  World.run(seconds(4));
+  std::map<ModelName, int> Loading;
+  for (const auto &[Id, Engine] : World.Engines)
+    if (Engine.Alive && Engine.Report.Group &&
+        Engine.Report.Group->State == MemberState::Joining)
+      ++Loading[Engine.InMemory];
+  EXPECT_EQ(Loading["large"], 6);
+  EXPECT_EQ(Loading["small"], 0);
+}
+
 TEST(FormationPlanner, AnEngineThatCameBackLeavesItsOldGroupFirst) {
   FormationWorld World;
   startService(World);
