--- a/Libraries/LibCommands/RequestStory.cpp
+++ b/Libraries/LibCommands/RequestStory.cpp
@@ -30,7 +30,11 @@
   if (text(Fields, "request") == this->Id)
     this->Own.emplace(text(Fields, "time"), Fields);
   else if (Event == "engine-lost" || Event == "engine-found")
-    this->Groups.emplace(text(Fields, "group"), Fields);
+    // A plain endpoint is a place by itself.
+    this->Groups.emplace(text(Fields, "group").empty()
+                             ? text(Fields, "endpoint")
+                             : text(Fields, "group"),
+                         Fields);
   else if (Event == "log-lines-omitted")
     if (const json::value *Count = Fields.if_contains("count");
         Count != nullptr && Count->is_int64())
@@ -99,7 +103,10 @@
   std::vector<std::string> Meanwhile;
   for (const auto &[Time, Line] : this->Own) {
     Result.Text += shown(Line);
-    auto [From, To] = this->Groups.equal_range(text(Line, "place"));
+    std::string Place = text(Line, "place");
+    if (Place.empty())
+      continue;
+    auto [From, To] = this->Groups.equal_range(Place);
     for (auto Each = From; Each != To; ++Each)
       Meanwhile.push_back(shown(Each->second));
   }
--- a/Libraries/LibCommands/RequestStory.h
+++ b/Libraries/LibCommands/RequestStory.h
@@ -36,7 +36,7 @@
   std::string Id;
   /// Lines about the request, by time as written.
   std::multimap<std::string, boost::json::object> Own;
-  /// Lines about groups, by group.
+  /// Lines about lost and found endpoints, by group or plain endpoint.
   std::multimap<std::string, boost::json::object> Groups;
   std::size_t Unreadable = 0;
   std::int64_t Omitted = 0;
--- a/Tests/LibCommands/TestRequestStory.cpp
+++ b/Tests/LibCommands/TestRequestStory.cpp
@@ -55,6 +55,14 @@
   EXPECT_EQ(Text.find("\"a\""), std::string::npos);
 }
 
+TEST(RequestStory, LeavesOutEndpointsThatItWasNeverSentTo) {
+  std::string Text = told(
+      "a",
+      {Refused,
+       R"({"time":"T1","event":"engine-lost","endpoint":"x","group":""})"});
+  EXPECT_EQ(Text.find("engine-lost"), std::string::npos) << Text;
+}
+
 TEST(RequestStory, SaysWhatTheLogsDoNotTell) {
   std::string Text =
       told("b", {R"({"time":"T5","event":"attempt","request":"b"})"});
