LibSettings, platform: Drop what nothing reads

Cause: reading the change as a newcomer: four bounds of the settings, the order to close and the decoded engine state had no reader; the time in which a leaving member's group finishes was a constant beside the promised one. Change: they are gone; the promised drain time decides.

--- a/Libraries/LibControl/ControlDialect.h
+++ b/Libraries/LibControl/ControlDialect.h
@@ -41,15 +41,6 @@
   std::string Subject;
 };
 
-/// What an engine answers when asked for its state, some hundred milliseconds
-/// old.
-struct EngineState {
-  /// Over 1: the engine is slower than it should be.
-  double Pace = 1;
-  int Waiting = 0;
-  int Running = 0;
-};
-
 class ControlDialect {
 public:
   ControlDialect() = default;
@@ -68,9 +59,8 @@
   [[nodiscard]] virtual HttpRequest
   toEngine(const EngineOrder &Order) const = 0;
   [[nodiscard]] virtual OrderResult orderResult(unsigned Status) const = 0;
+  /// A question that only an engine which lives answers.
   [[nodiscard]] virtual HttpRequest askState() const = 0;
-  [[nodiscard]] virtual std::optional<EngineState>
-  readState(std::string_view Text) const = 0;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -18,6 +18,8 @@
 /// off from the control hosts may still serve meanwhile.
 static constexpr auto ForgetAfter = std::chrono::seconds(30);
 static constexpr auto ForgetLeavingAfter = std::chrono::seconds(12);
+/// A group whose member leaves ends this long before the member may.
+static constexpr auto FinishMargin = std::chrono::milliseconds(100);
 static constexpr auto FleetLogInterval = std::chrono::seconds(1);
 /// Answers to orders and questions are short.
 static constexpr std::size_t AnswerBytes = 64 * 1024;
@@ -31,7 +33,9 @@
                            const ControlDialect &Dialect)
     : Executor(Executor), Dialect(Dialect),
       Client(Executor, {.SingleThread = true}),
-      Watch(watchOptions(Own), this->Engines), Planner({}, this->Engines) {}
+      Watch(watchOptions(Own), this->Engines),
+      Planner({.FinishTime = Own.Bounds.DrainTime - FinishMargin},
+              this->Engines) {}
 
 bool GroupForeman::report(TimePoint HeardAt, EngineReport Report) {
   return this->Engines.accept(HeardAt, std::move(Report));
@@ -115,8 +119,6 @@
     return "join";
   case OrderVerb::Open:
     return "open";
-  case OrderVerb::Close:
-    return "close";
   case OrderVerb::Leave:
     return "leave";
   }
--- a/Libraries/LibFormation/EngineOrder.h
+++ b/Libraries/LibFormation/EngineOrder.h
@@ -22,8 +22,6 @@
   Join,
   /// To the head of a group whose members are ready: serve.
   Open,
-  /// To the head: end what is in progress and serve no more.
-  Close,
   /// Be in no group, at once.
   Leave,
 };
--- a/Libraries/LibSettings/HostSettings.cpp
+++ b/Libraries/LibSettings/HostSettings.cpp
@@ -32,7 +32,6 @@
 static void readBounds(JsonReader &From, PromisedBounds &To) {
   To.DrainTime = readMilliseconds(From, "drain_ms", To.DrainTime);
   To.GraceTime = readSeconds(From, "grace_s", To.GraceTime);
-  To.CatalogTime = readMilliseconds(From, "catalog_ms", To.CatalogTime);
   To.RevocationTime =
       readMilliseconds(From, "revocation_ms", To.RevocationTime);
   To.RepeatRatio =
@@ -40,10 +39,6 @@
   To.RepeatSlack =
       From.optionalNumber("repeat_slack", To.RepeatSlack, 0, MostCount);
   To.RepeatWindow = readSeconds(From, "repeat_window_s", To.RepeatWindow);
-  To.ColdOverage =
-      From.optionalNumber("cold_overage", To.ColdOverage, 0, MostCount);
-  To.ColdSlack = From.optionalNumber("cold_slack", To.ColdSlack, 0, MostCount);
-  To.StallTime = readMilliseconds(From, "stall_ms", To.StallTime);
 }
 
 static std::uint16_t readPort(JsonReader &From, std::string_view Name) {
--- a/Libraries/LibSettings/HostSettings.h
+++ b/Libraries/LibSettings/HostSettings.h
@@ -32,18 +32,11 @@
   Duration DrainTime = std::chrono::seconds(2);
   /// From the signal to stop until the process is killed.
   Duration GraceTime = std::chrono::seconds(8);
-  /// From accepting a catalog until it is in force everywhere.
-  Duration CatalogTime = std::chrono::seconds(2);
   /// From taking a key away until no request with it runs anywhere.
   Duration RevocationTime = std::chrono::seconds(5);
   double RepeatRatio = 0.2;
   double RepeatSlack = 0;
   Duration RepeatWindow = std::chrono::seconds(10);
-  /// Factor and addition on what a cold endpoint bears in a second.
-  double ColdOverage = 1;
-  double ColdSlack = 0;
-  /// How long a group's head accepts requests with a member missing.
-  Duration StallTime = std::chrono::seconds(6);
 };
 
 struct HostSettings {
--- /dev/null
+++ b/Tests/LibSettings/TestHostSettings.cpp
@@ -0,0 +1,36 @@
+//===- Tests/LibSettings/TestHostSettings.cpp - Checked settings ----------===//
+
+#include <LibCore/Findings.h>
+#include <LibSettings/HostSettings.h>
+#include <gtest/gtest.h>
+
+using namespace carobhinge;
+
+TEST(HostSettings, ReadsAWholeFile) {
+  HostSettings Read = parseHostSettings(
+      R"({"host":"e1","ip":"10.1.0.1","failure_domain":"a",
+          "failure_domains":["a","b"],"caller_address":"10.1.0.1:80",
+          "peer_port":7000,"metrics_port":7001,"seeds":["10.1.0.2:90"],
+          "first_start":true,"report_interval_ms":1200,
+          "faults_borne":{"hosts":2,"failure_domains":1},
+          "bounds":{"grace_s":8,"revocation_ms":5000,"repeat_ratio":0.2,
+                    "repeat_slack":136,"repeat_window_s":10}})");
+  EXPECT_EQ(Read.CallerAddress, "10.1.0.1:80");
+  EXPECT_EQ(Read.ControlAddress, "");
+  EXPECT_EQ(Read.Borne.Hosts, 2);
+  EXPECT_EQ(Read.Bounds.RepeatSlack, 136);
+  EXPECT_TRUE(Read.FirstStart);
+}
+
+TEST(HostSettings, ReportsAllFindingsTogether) {
+  try {
+    parseHostSettings(R"({"host":"","ip":"10.1.0.1","peer_port":0,
+                          "metrics_port":7001,"sedes":[]})");
+    FAIL() << "the findings were missed";
+  } catch (const FindingsError &Error) {
+    std::string Report = Error.what();
+    for (const char *Place :
+         {"/host", "/failure_domain", "/peer_port", "/sedes"})
+      EXPECT_NE(Report.find(Place), std::string::npos) << Report;
+  }
+}
