--- a/Libraries/LibCommands/RequestStory.cpp
+++ b/Libraries/LibCommands/RequestStory.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace json = boost::json;
 
@@ -100,7 +101,7 @@
     Result.Exit = ExitRefused;
     Result.Text = "No line tells of request " + this->Id + ".\n";
   }
-  std::vector<std::string> Meanwhile;
+  std::set<std::string> Meanwhile;
   for (const auto &[Time, Line] : this->Own) {
     Result.Text += shown(Line);
     std::string Place = text(Line, "place");
@@ -108,11 +109,8 @@
       continue;
     auto [From, To] = this->Groups.equal_range(Place);
     for (auto Each = From; Each != To; ++Each)
-      Meanwhile.push_back(shown(Each->second));
+      Meanwhile.insert(shown(Each->second));
   }
-  std::ranges::sort(Meanwhile);
-  auto Repeated = std::ranges::unique(Meanwhile);
-  Meanwhile.erase(Repeated.begin(), Repeated.end());
   if (!Meanwhile.empty())
     Result.Text += "the places that it was sent to:\n";
   for (const std::string &Line : Meanwhile)
