LibControl: Rename a field that had the platform's name

Cause: a field of our own messages was named as the platform's heartbeat names the time that an engine stays cold; nothing outside platform/ should.

--- a/Libraries/LibControl/FleetMessages.cpp
+++ b/Libraries/LibControl/FleetMessages.cpp
@@ -15,7 +15,7 @@
   Result.set_born_ms(Report.BornMs);
   Result.set_sequence(Report.Sequence);
   Result.set_leaving(Report.Leaving);
-  Result.set_cold_left_ms(milliseconds(Report.ColdLeft));
+  Result.set_still_cold_ms(milliseconds(Report.ColdLeft));
   Result.set_slots(Report.Slots);
   for (const ModelName &Model : Report.Staged)
     Result.add_staged(Model);
@@ -40,7 +40,7 @@
       .BornMs = Message.born_ms(),
       .Sequence = Message.sequence(),
       .Leaving = Message.leaving(),
-      .ColdLeft = std::chrono::milliseconds(Message.cold_left_ms()),
+      .ColdLeft = std::chrono::milliseconds(Message.still_cold_ms()),
       .Slots = Message.slots(),
       .Staged = {Message.staged().begin(), Message.staged().end()},
       .Group = {}};
--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -195,7 +195,7 @@
     To.set_service(From.Report.Service);
     To.set_failure_domain(From.Report.FailureDomain);
     // Told once; each entry host counts it down by itself.
-    To.set_cold_left_ms(
+    To.set_still_cold_ms(
         std::max<std::int64_t>(milliseconds(From.ColdUntil - From.HeardAt), 0));
   };
   for (const auto &[Name, Group] : this->Planner.groups()) {
@@ -239,7 +239,7 @@
   return Left.endpoint() == Right.endpoint() &&
          Left.address() == Right.address() && Left.mode() == Right.mode() &&
          Left.epoch() == Right.epoch() &&
-         (Left.cold_left_ms() > 0) == (Right.cold_left_ms() > 0);
+         (Left.still_cold_ms() > 0) == (Right.still_cold_ms() > 0);
 }
 
 bool GroupForeman::publish(
--- a/Libraries/LibEntry/ControlFollower.cpp
+++ b/Libraries/LibEntry/ControlFollower.cpp
@@ -192,7 +192,7 @@
          .Model = Each.model(),
          .FailureDomain = Each.failure_domain(),
          .Slots = Each.slots(),
-         .ColdUntil = Now + std::chrono::milliseconds(Each.cold_left_ms()),
+         .ColdUntil = Now + std::chrono::milliseconds(Each.still_cold_ms()),
          .Mode = static_cast<PlaceMode>(Each.mode()),
          .Epoch = Each.epoch()});
   }
