LibEntry, LibFormation: Name the weights, drop what is dead, share seedHosts

Cause: reading the whole change once more: three weights stood unnamed in the cost of a place, isLeaving and an attempt's start had no reader, a comment on engineLost told of a set, and the hosts of the seeds were cut out twice. Change: options with units and reasons, one seedHosts beside the settings. Result: LibEntry 18, LibFormation 21, LibControl 3, LibSettings 10, Platform 6 pass.

--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -37,13 +37,6 @@
 /// Handing over leadership takes one round trip.
 static constexpr auto HandOverTime = std::chrono::milliseconds(400);
 
-static std::vector<HostName> seedHosts(const HostSettings &Own) {
-  std::vector<HostName> Hosts;
-  for (const std::string &Seed : Own.Seeds)
-    Hosts.push_back(Seed.substr(0, Seed.rfind(':')));
-  return Hosts;
-}
-
 /// The first voters. Only at the first start of the whole system may this
 /// host be one of them; later it is admitted by those who vote.
 static std::vector<HostName> firstVoters(const HostSettings &Own) {
--- a/Libraries/LibEntry/ControlFollower.cpp
+++ b/Libraries/LibEntry/ControlFollower.cpp
@@ -46,8 +46,7 @@
     : Context(Context), State(State), Dialect(Dialect),
       CatalogChanged(std::move(CatalogChanged)),
       Wire(followerOptions(State.Own)), PulseDue(Context.get_executor()) {
-  for (const std::string &Seed : State.Own.Seeds)
-    this->Hosts.push_back(Seed.substr(0, Seed.rfind(':')));
+  this->Hosts = seedHosts(State.Own);
   // Entry hosts begin their search at different hosts.
   this->Turn = hash64(State.Own.Host);
 }
--- a/Libraries/LibEntry/DispatchBoard.cpp
+++ b/Libraries/LibEntry/DispatchBoard.cpp
@@ -108,8 +108,10 @@
     Fresh = std::exp2(-toMilliseconds(Now - Candidate.JudgedAt) /
                       toMilliseconds(this->Options.FiguresHalve));
   double Slowness =
-      1 + Fresh * (Candidate.FirstMs / 500 + Candidate.PauseMs / 250);
-  double Failures = 1 + Fresh * 8 * Candidate.FailureShare;
+      1 + Fresh * (Candidate.FirstMs / toMilliseconds(this->Options.SlowFirst) +
+                   Candidate.PauseMs / toMilliseconds(this->Options.SlowPause));
+  double Failures =
+      1 + Fresh * this->Options.FailureWeight * Candidate.FailureShare;
   double Away = Candidate.Is.FailureDomain == this->Options.FailureDomain
                     ? 0
                     : this->Options.DomainPreference;
@@ -153,11 +155,8 @@
 AttemptNumber DispatchBoard::begin(TimePoint Now, const PlaceName &Name,
                                    bool Streams) {
   AttemptNumber Number = ++this->LastAttempt;
-  this->Attempts[Number] = {.At = Name,
-                            .Since = Now,
-                            .LastProgress = Now,
-                            .Begun = false,
-                            .Streams = Streams};
+  this->Attempts[Number] = {
+      .At = Name, .LastProgress = Now, .Begun = false, .Streams = Streams};
   ++this->Places[Name].InFlight;
   return Number;
 }
--- a/Libraries/LibEntry/DispatchBoard.h
+++ b/Libraries/LibEntry/DispatchBoard.h
@@ -70,6 +70,13 @@
   /// What was learned of a place counts half after this time without an
   /// answer, so that one that is avoided gets another chance.
   Duration FiguresHalve = std::chrono::seconds(2);
+  /// A mean time to the first event, and a mean pause, that make a place count
+  /// as loaded twice: about twice the usual objectives of streams.
+  Duration SlowFirst = std::chrono::milliseconds(500);
+  Duration SlowPause = std::chrono::milliseconds(250);
+  /// A place that fails all requests counts as loaded this many times more, so
+  /// that any other one is taken first.
+  double FailureWeight = 8;
   /// Load, in requests for each slot, that a place of another failure domain
   /// has to be better by; bytes between domains are priced.
   double DomainPreference = 0.04;
@@ -200,7 +207,6 @@
   };
   struct Attempt {
     PlaceName At;
-    TimePoint Since;
     TimePoint LastProgress;
     bool Begun = false;
     bool Streams = false;
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -99,11 +99,6 @@
   ++this->Revision;
 }
 
-bool FormationPlanner::isLeaving(const EndpointName &Id) const {
-  const EngineRecord *Record = this->Engines.find(Id);
-  return Record != nullptr && Record->Report.Leaving;
-}
-
 /// Whether orders reach the engine and it stays.
 bool FormationPlanner::isUsable(const EndpointName &Id) const {
   const EngineRecord *Record = this->Engines.find(Id);
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -103,7 +103,7 @@
     return Now >= this->LeadingSince;
   }
 
-  /// Engines that are lost for certain; the set replaces the one before.
+  /// An engine is lost for certain, until it is found again.
   void engineLost(TimePoint Now, const EndpointName &Id);
   void engineFound(const EndpointName &Id);
   [[nodiscard]] bool isLost(const EndpointName &Id) const {
@@ -187,7 +187,6 @@
 
   [[nodiscard]] bool isUsable(const EndpointName &Id) const;
   [[nodiscard]] bool isDistrusted(const EngineRecord &Record) const;
-  [[nodiscard]] bool isLeaving(const EndpointName &Id) const;
   [[nodiscard]] const GroupMembership *
   membership(const EndpointName &Id, const PlannedGroup &Group) const;
   /// The model whose weights are in the engine's memory, as far as known.
--- a/Libraries/LibSettings/HostSettings.cpp
+++ b/Libraries/LibSettings/HostSettings.cpp
@@ -82,6 +82,14 @@
   return Result;
 }
 
+std::vector<HostName> seedHosts(const HostSettings &Own) {
+  std::vector<HostName> Hosts;
+  Hosts.reserve(Own.Seeds.size());
+  for (const std::string &Seed : Own.Seeds)
+    Hosts.push_back(Seed.substr(0, Seed.rfind(':')));
+  return Hosts;
+}
+
 HostSettings loadHostSettings(const std::string &Path) {
   std::ifstream File(Path);
   std::ostringstream Text;
--- a/Libraries/LibSettings/HostSettings.h
+++ b/Libraries/LibSettings/HostSettings.h
@@ -63,6 +63,9 @@
   PromisedBounds Bounds;
 };
 
+/// The hosts of the seeds, without their ports.
+std::vector<HostName> seedHosts(const HostSettings &Own);
+
 /// Reads and checks a settings file. \throws FindingsError
 HostSettings loadHostSettings(const std::string &Path);
 
