LibConsensus: Take in again a host that was taken out unheard

Cause: a voter that was taken out while it was away goes on taking itself for a voter. It asks only the voters that it knows for votes, and says hello to nobody, so a leader that wants it back never learns that it is there: the change of voters stays open for good, and the next losses meet a smaller set of voters than promised. Ruled out: the links (introductions went both ways), the disk (the same life of it), a learner that lags (it was no learner at the leader at all). Change: a voter without a leader for two longest elections says hello to all hosts that it has met. Before: the new test ends without the host among the voters. After: it is a voter; all 28 tests of the library pass. Conclusion: who holds an old set of voters must speak to more than that set.

--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -196,6 +196,7 @@
   void tickMembers(TimePoint Now);
   void sayHello(const HostName &To, bool Reply);
   void sayHelloToAll();
+  [[nodiscard]] bool mayBeTakenOut(TimePoint Now) const;
   [[nodiscard]] std::vector<HostName> otherHosts() const;
   [[nodiscard]] message::Stage wireStage() const;
   void onHello(TimePoint Now, const HostName &From,
--- a/Libraries/LibConsensus/ReplicaMembers.cpp
+++ b/Libraries/LibConsensus/ReplicaMembers.cpp
@@ -17,6 +17,9 @@
 
 /// A learner that lags by no more than this is made a voter.
 static constexpr std::uint64_t CaughtUpEntries = 64;
+/// Longest times of an election without a leader, after which a voter makes
+/// itself known to every host that it has met.
+static constexpr int SilencesBeforeHello = 2;
 
 std::string Replica::newIdentity() {
   char Digits[17] = {};
@@ -57,7 +60,8 @@
   std::vector<HostName> Hosts = this->otherHosts();
   for (const HostName &Host : Hosts)
     this->sayHello(Host, false);
-  if (this->role() != Role::Learner)
+  // A log comes into being among its first hosts only.
+  if (this->role() == Role::Blank)
     return;
   for (const HostName &Host : this->Met)
     if (Host != this->Options.Self &&
@@ -65,15 +69,24 @@
       this->sayHello(Host, false);
 }
 
+/// Whether the log may go on without this voter: it was taken out while it was
+/// away, and those whom it knows as voters may all be gone.
+bool Replica::mayBeTakenOut(TimePoint Now) const {
+  return this->isVotingRole() && this->role() != Role::Leader &&
+         Now - this->LeaderHeard >=
+             SilencesBeforeHello * this->Options.Timings.ElectionMost;
+}
+
 void Replica::tickMembers(TimePoint Now) {
   this->considerFormation(Now);
   this->considerConfirmed(Now);
-  if (this->isVotingRole() && this->Confirmed)
+  bool MayBeOut = this->mayBeTakenOut(Now);
+  if (this->isVotingRole() && this->Confirmed && !MayBeOut)
     return;
   if (Now < this->HelloDue)
     return;
   const ReplicaTimings &Timings = this->Options.Timings;
-  bool Learning = this->role() == Role::Learner;
+  bool Learning = this->role() == Role::Learner || MayBeOut;
   this->HelloDue = Now + (Learning ? Timings.ElectionLeast : Timings.Heartbeat);
   this->sayHelloToAll();
 }
--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -292,6 +292,32 @@
             4);
 }
 
+/// It still takes itself for a voter, and asks only the hosts it knew.
+TEST_F(ReplicaTest, AHostThatWasTakenOutUnheardIsTakenInAgain) {
+  this->start({.Hosts = Three, .Spares = {"d", "e"}});
+  this->Cluster->isolate(this->First);
+  this->Cluster->with(this->Leader, [&](Replica &Known, TimePoint Now) {
+    EXPECT_TRUE(Known.changeHosts(Now, {this->Leader, "d", "e"}));
+  });
+  this->Cluster->advance(30s);
+  this->Cluster->kill(this->Second);
+  this->Cluster->kill(this->Leader);
+  this->Cluster->heal();
+  this->Cluster->advance(10s);
+  HostName Leader = this->Cluster->leader();
+  ASSERT_NE(Leader, "");
+  this->Cluster->with(this->First, [&](Replica &Known, TimePoint) {
+    Known.meet({"d", "e"});
+  });
+  this->Cluster->with(Leader, [&](Replica &Known, TimePoint Now) {
+    EXPECT_TRUE(Known.changeHosts(Now, {this->First, "d", "e"}));
+  });
+  this->Cluster->advance(20s);
+  const auto &Voters = this->Cluster->replica(Leader).log().configuration();
+  EXPECT_FALSE(voterDisk(Voters, this->First).empty());
+  EXPECT_TRUE(this->Cluster->Violations.empty());
+}
+
 TEST_F(ReplicaTest, VotersMoveOneByOneToOtherHosts) {
   this->start({.Hosts = Three, .Bounds = Small, .Spares = {"d", "e"}});
   this->commit(30);
