--- a/Libraries/LibTelemetry/LineSink.cpp
+++ b/Libraries/LibTelemetry/LineSink.cpp
@@ -19,7 +19,7 @@
     ::fcntl(this->Options.Descriptor, F_SETFL, this->OldFlags);
 }
 
-bool LineSink::admit(TimePoint Now, std::string_view Event) {
+bool LineSink::admit(TimePoint Now, std::string_view Event, bool Important) {
   std::lock_guard Guard(this->Lock);
   auto Found = this->Events.find(Event);
   if (Found == this->Events.end())
@@ -27,8 +27,10 @@
   Second &Its = Found->second;
   if (Its.Began == TimePoint::min() ||
       Now - Its.Began >= std::chrono::seconds(1))
-    Its = {.Began = Now, .Lines = 0};
-  if (++Its.Lines <= this->Options.LinesPerSecond)
+    Its = {.Began = Now};
+  bool Fits = Important ? ++Its.Important <= this->Options.ImportantPerSecond
+                        : ++Its.Ordinary <= this->Options.LinesPerSecond;
+  if (Fits)
     return true;
   ++this->Omitted;
   return false;
--- a/Libraries/LibTelemetry/LineSink.h
+++ b/Libraries/LibTelemetry/LineSink.h
@@ -27,8 +27,11 @@
   std::size_t KeptBytes = std::size_t(256) * 1024;
   /// Part of KeptBytes that ordinary lines may fill.
   double OrdinaryShare = 0.75;
-  /// Lines of one event in a second.
+  /// Lines of one event in a second: a few times what an entry host answers.
   std::uint64_t LinesPerSecond = 200;
+  /// The same for lines of requests that ended badly, of which a clerk may
+  /// ask for each one.
+  std::uint64_t ImportantPerSecond = 1000;
 };
 
 /// Thread-safe.
@@ -39,8 +42,9 @@
   LineSink &operator=(const LineSink &) = delete;
   ~LineSink();
 
-  /// Whether a line about \p Event fits into this second's bound.
-  bool admit(TimePoint Now, std::string_view Event);
+  /// Whether a line about \p Event fits into this second's bound. Ordinary
+  /// lines never take the place of important ones.
+  bool admit(TimePoint Now, std::string_view Event, bool Important);
 
   /// Writes \p Line and a line break, now or later. \p Important: it tells of
   /// a request that ended badly.
@@ -54,7 +58,8 @@
 
   struct Second {
     TimePoint Began = TimePoint::min();
-    std::uint64_t Lines = 0;
+    std::uint64_t Ordinary = 0;
+    std::uint64_t Important = 0;
   };
 
   LineSinkOptions Options;
--- a/Libraries/LibTelemetry/Log.cpp
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -85,24 +85,30 @@
   return Text.data();
 }
 
+/// A line as it is written, with the time first.
+static std::string timedLine(Severity How, std::string_view Event,
+                             std::initializer_list<LogField> Fields) {
+  json::object Line;
+  Line["time"] = wallClockText();
+  for (auto &Member : lineFields(How, Event, Fields))
+    Line[Member.key()] = std::move(Member.value());
+  return json::serialize(Line);
+}
+
 void logEvent(Severity How, std::string_view Event,
               std::initializer_list<LogField> Fields) {
   if (How < Started.Least)
     return;
-  if (Output && !Output->admit(monotonicNow(), Event))
+  bool Important = How != Severity::Info;
+  if (Output && !Output->admit(monotonicNow(), Event, Important))
     return;
-  json::object Line;
-  Line["time"] = wallClockText();
-  for (auto &Member : lineFields(How, Event, Fields))
-    Line[Member.key()] = std::move(Member.value());
-  std::string Text = json::serialize(Line);
+  std::string Text = timedLine(How, Event, Fields);
   if (Output) {
     if (std::uint64_t Omitted = Output->takeOmitted())
-      Output->write(
-          formatLogLine(Severity::Warning, "log-lines-omitted",
-                        {{"count", static_cast<std::int64_t>(Omitted)}}),
-          true);
-    return Output->write(std::move(Text), How != Severity::Info);
+      Output->write(timedLine(Severity::Warning, "log-lines-omitted",
+                              {{"count", static_cast<std::int64_t>(Omitted)}}),
+                    true);
+    return Output->write(std::move(Text), Important);
   }
   switch (How) {
   case Severity::Info:
--- a/Tests/LibTelemetry/TestLineSink.cpp
+++ b/Tests/LibTelemetry/TestLineSink.cpp
@@ -53,9 +53,11 @@
   TimePoint Now{std::chrono::seconds(10)};
   int Admitted = 0;
   for (int I = 0; I < 10; ++I)
-    Admitted += Sink.admit(Now, "request") ? 1 : 0;
+    Admitted += Sink.admit(Now, "request", false) ? 1 : 0;
   EXPECT_EQ(Admitted, 3);
-  EXPECT_TRUE(Sink.admit(Now, "order"));
+  EXPECT_TRUE(Sink.admit(Now, "order", false));
+  // Many answers leave room for the lines of those that got none.
+  EXPECT_TRUE(Sink.admit(Now, "request", true));
   EXPECT_EQ(Sink.takeOmitted(), 7U);
-  EXPECT_TRUE(Sink.admit(Now + std::chrono::seconds(1), "request"));
+  EXPECT_TRUE(Sink.admit(Now + std::chrono::seconds(1), "request", false));
 }
