--- a/Tests/Processes/ChildProcess.cpp
+++ b/Tests/Processes/ChildProcess.cpp
@@ -61,6 +61,8 @@
   Pointers.push_back(nullptr);
   posix_spawn_file_actions_t Actions;
   posix_spawn_file_actions_init(&Actions);
+  // Connections of this process must not stay open in the child.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
   posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
