LibControl: Take part again after a disk was full

Cause: a replica whose write or sync fails ends its part for good, since nothing is known any more of what the disk holds; only a restart of the process reads it anew. Change: the control process looks twice a second whether its log has failed, and begins anew with what the disk holds, as a restart would: it votes only once the others have told what it claimed before. What is known already isn't shown in an older state meanwhile. Events disk-failed and disk-regained. Conclusion: "no second try" holds for the write, not for the host.

--- a/Libraries/LibControl/AgreedState.cpp
+++ b/Libraries/LibControl/AgreedState.cpp
@@ -31,18 +31,13 @@
 
 AgreedState::AgreedState(const asio::any_io_executor &Executor,
                          const HostSettings &Own, std::vector<HostName> First,
-                         const Sender &Send, const Observer &Changed)
-    : Executor(Executor),
-      Register([this, Executor, Changed](const message::RegisterState &State) {
-        asio::post(Executor, [this, State, Changed] {
-          this->Newest = State;
-          Changed(this->Newest);
-        });
-      }) {
+                         const Sender &Send, Observer Changed, Disk *Files)
+    : Executor(Executor), Changed(std::move(Changed)) {
   std::filesystem::path Folder =
       std::filesystem::path(Own.DataFolder) / "register";
-  this->Files.createFolders(Folder);
-  this->Log = std::make_unique<LogDriver>(LogDriverOptions{
+  Disk *Used = Files != nullptr ? Files : &this->DefaultDisk;
+  Used->createFolders(Folder);
+  this->Options = {
       .Log = 0,
       .Self = Own.Ip,
       .Voters = std::move(First),
@@ -54,9 +49,41 @@
                            const message::ConsensusMessage &Message) {
             asio::post(Executor, [Send, To, Message] { Send(To, Message); });
           },
-      .Machine = &this->Register,
+      .Machine = nullptr,
       .Seed = hash64(Own.Host),
-      .Files = &this->Files});
+      .Files = Used};
+  this->open();
+}
+
+void AgreedState::open() {
+  auto Fresh = std::make_unique<ControlRegister>(
+      [this](const message::RegisterState &State) {
+        asio::post(this->Executor, [this, State] {
+          // A log that is read again begins with what is known already.
+          if (State.revision() < this->Newest.revision())
+            return;
+          this->Newest = State;
+          this->Changed(this->Newest);
+        });
+      });
+  this->Options.Machine = Fresh.get();
+  auto Opened = std::make_unique<LogDriver>(this->Options);
+  this->Log = std::move(Opened);
+  this->Register = std::move(Fresh);
+}
+
+std::string AgreedState::mend() {
+  std::string Error = this->Log->status().LastError;
+  if (Error.empty())
+    return Error;
+  this->Log->stop();
+  // FIXME: Reading a slow disk here holds the calls of other hosts up.
+  try {
+    this->open();
+  } catch (const std::runtime_error &Again) {
+    Error = Again.what();
+  }
+  return Error;
 }
 
 AgreedState::~AgreedState() { this->Log->stop(); }
--- a/Libraries/LibControl/AgreedState.h
+++ b/Libraries/LibControl/AgreedState.h
@@ -33,10 +33,11 @@
   using Observer = std::function<void(const message::RegisterState &)>;
 
   /// Opens the files in the data folder. \p First are the hosts of the first
-  /// voters. \throws DiskError, DamageError
+  /// voters. \p Files must outlive the object; null: the operating system's.
+  /// \throws DiskError, DamageError
   AgreedState(const boost::asio::any_io_executor &Executor,
               const HostSettings &Own, std::vector<HostName> First,
-              const Sender &Send, const Observer &Changed);
+              const Sender &Send, Observer Changed, Disk *Files = nullptr);
   ~AgreedState();
 
   void receive(const HostName &From, const message::ConsensusMessage &Message);
@@ -61,6 +62,11 @@
   void transferLeadership() { this->Log->transferLeadership(); }
   void stop() { this->Log->stop(); }
 
+  /// A log whose disk failed takes no further part. Begins anew with what the
+  /// disk holds, as a restart of the process would. \returns what failed, and
+  /// empty if all is well.
+  std::string mend();
+
 private:
   /// A confirmation that calls wait for.
   struct Round {
@@ -71,11 +77,15 @@
   };
 
   void beginRound();
+  void open();
 
   boost::asio::any_io_executor Executor;
+  Observer Changed;
+  /// Its revision never goes down, also while a log is read again.
   message::RegisterState Newest;
-  PosixDisk Files;
-  ControlRegister Register;
+  PosixDisk DefaultDisk;
+  LogDriverOptions Options;
+  std::unique_ptr<ControlRegister> Register;
   std::unique_ptr<LogDriver> Log;
   /// Begun; later calls can't rely on it.
   std::shared_ptr<Round> Running;
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -23,6 +23,8 @@
 /// Between two steps of the planning. A lost engine is asked about and
 /// replaced within a few of them.
 static constexpr auto TickInterval = std::chrono::milliseconds(100);
+/// Between two attempts to take part again after the disk failed.
+static constexpr auto MendInterval = std::chrono::milliseconds(500);
 /// Between two steps at least: a step takes a quarter of a millisecond of a
 /// core at 220 engines, ten times that on a seventh of one.
 static constexpr auto LeastStepPause = std::chrono::milliseconds(40);
@@ -164,7 +166,23 @@
   }
 }
 
+/// A disk that was full may have room again.
+void ControlProcess::mendDisk(TimePoint Now) {
+  if (Now - this->MendedAt < MendInterval)
+    return;
+  this->MendedAt = Now;
+  std::string Error = this->State.mend();
+  if (Error == this->DiskError)
+    return;
+  if (Error.empty())
+    logEvent(Severity::Info, "disk-regained", {});
+  else
+    logEvent(Severity::Error, "disk-failed", {{"error", Error}});
+  this->DiskError = std::move(Error);
+}
+
 void ControlProcess::tick(TimePoint Now) {
+  this->mendDisk(Now);
   LogStatus Status = this->State.status();
   if (Status.Current != Role::Leader) {
     if (this->Foreman.leads())
--- a/Libraries/LibControl/ControlProcess.h
+++ b/Libraries/LibControl/ControlProcess.h
@@ -52,6 +52,7 @@
   /// A step is due before the next tick.
   void stepSoon();
   void chooseVoters(TimePoint Now);
+  void mendDisk(TimePoint Now);
   void stateChanged(const message::RegisterState &State);
   WireLink &link(const HostName &Host);
   std::map<std::string, WireHandler, std::less<>> handlers();
@@ -95,6 +96,8 @@
   std::optional<TimePoint> ConfirmedAt;
   bool Confirming = false;
   std::uint64_t LedTerm = 0;
+  TimePoint MendedAt;
+  std::string DiskError;
   TimePoint SteppedAt;
   bool StepScheduled = false;
   TimePoint VotersAskedAt;
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -33,6 +33,8 @@
       {"attempt",
        {"request", "endpoint", "place", "end", "reason", "status", "last_event",
         "in_flight", "slots", "after_ms"}},
+      {"disk-failed", {"error"}},
+      {"disk-regained", {}},
       {"leadership-gained", {"term", "endpoints"}},
       {"leadership-lost", {}},
       {"voters-change", {"voters", "wanted"}},
