LibFormation: Let a domain that comes back keep its model

Cause: when a failure domain that was cut off comes back, its engines are found one by one. With fewer of them than a group of the larger model has, the domain counted as one that its model can't serve any more, and as the engines were no newcomers nothing waited: it was given the smaller model, for good. Change: a domain is assigned anew only once no engine came back to it for the settling time, as for newcomers. Before: the new test (nine engines, 200 ms apart) ends with 4 groups of the larger model, after: with 6; all 22 tests of the planner pass. Conclusion: "too few engines" must not be concluded while they are arriving.

--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -78,7 +78,7 @@
     if (Lost.contains(Id) == Was)
       continue;
     if (Was)
-      this->Planner.engineFound(Id);
+      this->Planner.engineFound(Now, Id);
     else
       this->Planner.engineLost(Now, Id);
     logEvent(Severity::Info, Was ? "engine-found" : "engine-lost",
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -86,8 +86,9 @@
   this->Lost.try_emplace(Id, Now);
 }
 
-void FormationPlanner::engineFound(const EndpointName &Id) {
-  this->Lost.erase(Id);
+void FormationPlanner::engineFound(TimePoint Now, const EndpointName &Id) {
+  if (this->Lost.erase(Id) > 0)
+    this->FoundAt[Id] = Now;
 }
 
 std::uint64_t FormationPlanner::nextEpoch() { return ++this->LastEpoch; }
@@ -184,6 +185,9 @@
                 [](const auto &Entry) { return Entry.second.Members.empty(); });
   std::erase_if(this->DistrustedUntil,
                 [&](const auto &Entry) { return Entry.second <= Now; });
+  std::erase_if(this->FoundAt, [&](const auto &Entry) {
+    return Now - Entry.second > this->Options.Settle;
+  });
   this->releaseStrays(Now);
   for (const Service &Of : InForce.Services)
     if (Of.Engine)
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -105,7 +105,7 @@
 
   /// An engine is lost for certain, until it is found again.
   void engineLost(TimePoint Now, const EndpointName &Id);
-  void engineFound(const EndpointName &Id);
+  void engineFound(TimePoint Now, const EndpointName &Id);
   [[nodiscard]] bool isLost(const EndpointName &Id) const {
     return this->Lost.contains(Id);
   }
@@ -151,6 +151,8 @@
     /// Engines that can be used, in groups or not.
     int Engines = 0;
     TimePoint NewestAt;
+    /// When the last one came, also one that was out of reach before.
+    TimePoint CompleteSince;
     /// Those that are in no group.
     std::vector<const EngineRecord *> Free;
     int Groups = 0;
@@ -215,6 +217,8 @@
   /// Reserves: a group of one engine each, never opened. By engine.
   std::map<EndpointName, PlannedGroup> Reserves;
   std::map<EndpointName, TimePoint> Lost;
+  /// When engines that were lost were found again.
+  std::map<EndpointName, TimePoint> FoundAt;
   /// Engines that failed to join, until they are tried again.
   std::map<EndpointName, TimePoint> DistrustedUntil;
   /// The model that each domain serves.
--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -78,6 +78,9 @@
     Its.Place = Record.Report.FailureDomain;
     ++Its.Engines;
     Its.NewestAt = std::max(Its.NewestAt, Record.FirstHeardAt);
+    Its.CompleteSince = std::max(Its.CompleteSince, Its.NewestAt);
+    if (auto Back = this->FoundAt.find(Id); Back != this->FoundAt.end())
+      Its.CompleteSince = std::max(Its.CompleteSince, Back->second);
     if (!Taken.contains(Id) && !this->isBound(Record, {}) &&
         !this->isDistrusted(Record))
       Its.Free.push_back(&Record);
@@ -203,7 +206,9 @@
     if (Serves)
       continue;
     Waiting[Its.Place].push_back(Fabric);
-    Newest = std::max(Newest, Its.NewestAt);
+    // While engines come back one by one there are too few of them for the
+    // model that all of them hold.
+    Newest = std::max(Newest, Its.CompleteSince);
   }
   if (Now - Newest < this->Options.Settle)
     return;
--- a/Libraries/LibFormation/LossWatch.cpp
+++ b/Libraries/LibFormation/LossWatch.cpp
@@ -55,8 +55,8 @@
     if ((!Overdue && !Suspect) || this->flows(Now, Record))
       continue;
     Asked &Question = this->Questions[Id];
-    Duration Again = Question.FailedAt ? this->Options.AskLostAgain
-                                       : this->Options.AskAgain;
+    Duration Again =
+        Question.FailedAt ? this->Options.AskLostAgain : this->Options.AskAgain;
     if (Question.Waiting || Now - Question.At < Again)
       continue;
     Question.At = Now;
--- a/Tests/LibFormation/FormationWorld.cpp
+++ b/Tests/LibFormation/FormationWorld.cpp
@@ -103,7 +103,7 @@
   if (Off)
     this->Planner->engineLost(this->Now, Id);
   else
-    this->Planner->engineFound(Id);
+    this->Planner->engineFound(this->Now, Id);
 }
 
 void FormationWorld::changeLeaderWithOldReportOf(const EndpointName &Id) {
--- a/Tests/LibFormation/TestFormationPlanner.cpp
+++ b/Tests/LibFormation/TestFormationPlanner.cpp
@@ -119,6 +119,33 @@
   EXPECT_EQ(Loading["small"], 0);
 }
 
+/// A failure domain was cut off; its engines are heard again one by one, fewer
+/// than a group of the larger model at first.
+TEST(FormationPlanner, ADomainThatComesBackKeepsItsModel) {
+  FormationWorld World;
+  startService(World);
+  FabricDomainName Fabric = World.Planner->groups().begin()->second.Fabric;
+  for (const auto &[Name, Group] : World.Planner->groups())
+    if (Group.Model == "large")
+      Fabric = Group.Fabric;
+  std::vector<EndpointName> Gone;
+  for (const auto &[Id, Engine] : World.Engines)
+    if (Engine.Report.Fabric == Fabric)
+      Gone.push_back(Id);
+  for (const EndpointName &Id : Gone)
+    World.cutOff(Id, true);
+  World.run(seconds(4));
+  ASSERT_EQ(World.open("large"), 4);
+  for (const EndpointName &Id : Gone) {
+    World.cutOff(Id, false);
+    World.run(std::chrono::milliseconds(200));
+  }
+  World.run(seconds(5));
+  EXPECT_EQ(World.open("large"), 6);
+  EXPECT_EQ(World.open("small"), 9);
+  EXPECT_TRUE(World.broken().empty());
+}
+
 TEST(FormationPlanner, AnEngineThatCameBackLeavesItsOldGroupFirst) {
   FormationWorld World;
   startService(World);
