--- a/Libraries/LibControl/GroupForeman.cpp
+++ b/Libraries/LibControl/GroupForeman.cpp
@@ -167,13 +167,14 @@
 }
 
 void GroupForeman::tellFigures(Metrics &Figures) const {
-  for (const auto &[Model, Count] : this->Planner.census()) {
+  for (const auto &Entry : this->Planner.census()) {
     auto Set = [&](std::string_view Name, std::string_view State,
                    std::int64_t Value) {
-      Figures.setGauge(std::string(Name) + "{model=\"" + Model + "\",state=\"" +
-                           std::string(State) + "\"}",
+      Figures.setGauge(std::string(Name) + "{model=\"" + Entry.first +
+                           "\",state=\"" + std::string(State) + "\"}",
                        static_cast<double>(this->Leading ? Value : 0));
     };
+    const FormationPlanner::Census &Count = Entry.second;
     Set("groups", "open", Count.Open);
     Set("groups", "forming", Count.Forming);
     Set("groups", "other", Count.Other);
--- a/Libraries/LibEntry/DispatchBoard.cpp
+++ b/Libraries/LibEntry/DispatchBoard.cpp
@@ -265,7 +265,9 @@
     if (Entry.Is.Service != Service || Entry.Is.Model != Model)
       continue;
     Sum.InFlight += Entry.InFlight + Entry.Others;
-    if (Entry.Is.Mode == PlaceMode::Open && !Entry.SilentSince)
+    bool Usable = Entry.Is.Mode == PlaceMode::Open && !Entry.SilentSince &&
+                  !this->Emptied.contains(Entry.Is.FailureDomain);
+    if (Usable)
       Sum.Slots += Entry.Is.Slots;
   }
   return Sum;
--- a/Meta/carobhinge.sh
+++ b/Meta/carobhinge.sh
@@ -16,6 +16,7 @@
   format         let the formatter rewrite the sources
   bench NAME     run one benchmark (without NAME: list them)
   matrix         the fault matrix, whole
+  soak [N [M]]   M seeds (1) of the fault soak from seed N (1) on
   fuzz           the fuzz targets, bounded and with a fixed seed
   build          only build
 END
@@ -46,6 +47,11 @@
   build Release carobhinge Demonstration
   exec Meta/run-demonstration.sh "$@"
   ;;
+soak)
+  install_packages
+  build Release carobhinge Soak
+  exec Build/Release/Soak --first-seed "${1:-1}" --seeds "${2:-1}"
+  ;;
 test)
   install_packages
   build Release
--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -21,7 +21,7 @@
 /// A change that isn't acknowledged in this time may or may not be in force.
 static constexpr auto ChangeTime = seconds(3);
 
-SoakRun::SoakRun(std::uint64_t Seed) : Seed(Seed), Caller(Running, Seed) {
+SoakRun::SoakRun(std::uint64_t Seed) : Caller(Running, Seed) {
   this->Faults =
       planFaults(Seed, {.ControlHosts = 3,
                         .Hosts = this->Running.hosts(),
@@ -129,7 +129,9 @@
 
 /// Ends what still lasts.
 void SoakRun::heal() {
-  std::ranges::stable_sort(this->Due, {}, &Step::At);
+  std::stable_sort(
+      this->Due.begin(), this->Due.end(),
+      [](const Step &Left, const Step &Right) { return Left.At < Right.At; });
   for (Step &Each : this->Due) {
     std::this_thread::sleep_until(Each.At);
     Each.Do();
@@ -186,11 +188,12 @@
   while (Next < this->Faults.size()) {
     TimePoint Now = monotonicNow();
     // Steps that are due may add new ones.
-    auto Ripe = std::ranges::partition(
-        this->Due, [&](const Step &Each) { return Each.At > Now; });
-    std::vector<Step> Doing(std::make_move_iterator(Ripe.begin()),
-                            std::make_move_iterator(Ripe.end()));
-    this->Due.erase(Ripe.begin(), Ripe.end());
+    auto Ripe =
+        std::stable_partition(this->Due.begin(), this->Due.end(),
+                              [&](const Step &Each) { return Each.At > Now; });
+    std::vector<Step> Doing(std::make_move_iterator(Ripe),
+                            std::make_move_iterator(this->Due.end()));
+    this->Due.erase(Ripe, this->Due.end());
     for (Step &Each : Doing)
       Each.Do();
     while (Next < this->Faults.size() && Now >= Start + this->Faults[Next].At)
--- a/Soak/SoakRun.h
+++ b/Soak/SoakRun.h
@@ -40,7 +40,6 @@
   void heal();
   void judge();
 
-  const std::uint64_t Seed;
   PlatformDeployment Running{PlatformPlan()};
   PromiseCaller Caller;
   std::vector<Fault> Faults;
