LibConsensus, LibWire: Mend what the sanitizers found in whole processes

Cause: the first run of entry and control processes under the sanitizers. (1) A voter that never heard a leader subtracted the earliest time point from now, which overflows; in the released program such a voter would not have said hello. (2) Links were open when a process ended, so that sessions and their buffers were never freed and LeakSanitizer turned exit code 0 into 1. Ruled out: the stand-ins (the findings stood in the processes' logs). Change: the silence counts from the start at the earliest; both processes close their links before they end, and give the executor 50 ms for it. Conclusion: process tests belong under the sanitizers as well.

--- a/Libraries/LibConsensus/ReplicaMembers.cpp
+++ b/Libraries/LibConsensus/ReplicaMembers.cpp
@@ -72,8 +72,10 @@
 /// Whether the log may go on without this voter: it was taken out while it was
 /// away, and those whom it knows as voters may all be gone.
 bool Replica::mayBeTakenOut(TimePoint Now) const {
+  // Before a first word of a leader its silence counts from the start.
+  TimePoint Since = std::max(this->LeaderHeard, this->StartedAt);
   return this->isVotingRole() && this->role() != Role::Leader &&
-         Now - this->LeaderHeard >=
+         Now - Since >=
              SilencesBeforeHello * this->Options.Timings.ElectionMost;
 }
 
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -40,6 +40,8 @@
 static constexpr auto ChangePause = std::chrono::milliseconds(500);
 /// Before the same change is asked for again.
 static constexpr auto ChangeRepeat = std::chrono::seconds(5);
+/// Closing the links to other hosts takes one turn of the executor.
+static constexpr auto LinkCloseTime = std::chrono::milliseconds(50);
 /// Handing over leadership takes one round trip.
 static constexpr auto HandOverTime = std::chrono::milliseconds(400);
 
@@ -122,6 +124,9 @@
   this->Calls.stop();
   this->Peers.stop();
   this->State.stop();
+  for (auto &[Host, Link] : this->Links)
+    Link->stop();
+  co_await Pause.wait(LinkCloseTime);
   logEvent(
       Severity::Info, "stopped",
       {{"cut_off", static_cast<std::int64_t>(this->Calls.activeExchanges())}});
--- a/Libraries/LibEntry/ControlFollower.cpp
+++ b/Libraries/LibEntry/ControlFollower.cpp
@@ -121,6 +121,11 @@
   Watch->cancel();
 }
 
+void ControlFollower::stop() {
+  for (auto &[Host, Link] : this->Links)
+    Link->stop();
+}
+
 /// \returns whether the sender leads.
 bool ControlFollower::take(const HostName &From,
                            const message::WatchUpdate &Update) {
--- a/Libraries/LibEntry/ControlFollower.h
+++ b/Libraries/LibEntry/ControlFollower.h
@@ -31,6 +31,8 @@
                   std::function<void()> CatalogChanged);
 
   void start();
+  /// Closes the links to the control hosts, for the end of the process.
+  void stop();
   /// Tells the leader of a finding at once.
   void pulseSoon() { this->PulseDue.fire(); }
 
--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -11,6 +11,8 @@
 
 namespace carobhinge {
 
+/// Closing the links to the control hosts takes one turn of the executor.
+static constexpr auto LinkCloseTime = std::chrono::milliseconds(50);
 /// Between two looks for places that stand still.
 static constexpr auto WatchInterval = std::chrono::milliseconds(60);
 /// A host is ready while its last confirmation is younger than this share of
@@ -151,6 +153,8 @@
   this->Callers.stop();
   while (monotonicNow() < End && this->Callers.activeExchanges() > 0)
     co_await Pause.wait(std::chrono::milliseconds(100));
+  this->Follower.stop();
+  co_await Pause.wait(LinkCloseTime);
   logEvent(Severity::Info, "stopped",
            {{"cut_off",
              static_cast<std::int64_t>(this->Callers.activeExchanges())}});
--- a/Libraries/LibWire/WireLink.cpp
+++ b/Libraries/LibWire/WireLink.cpp
@@ -255,6 +255,8 @@
 
 WireLink::~WireLink() { this->Impl->stop(); }
 
+void WireLink::stop() { this->Impl->stop(); }
+
 bool WireLink::connected() const { return this->Impl->Connected; }
 
 std::string WireLink::lastError() const {
--- a/Libraries/LibWire/WireLink.h
+++ b/Libraries/LibWire/WireLink.h
@@ -53,6 +53,9 @@
   WireLink(const boost::asio::any_io_executor &Executor, std::string Address,
            WireOptions Options, std::uint64_t Seed);
   ~WireLink();
+  /// Closes the connection for good; calls in progress end. Takes effect once
+  /// the executor has run.
+  void stop();
   WireLink(const WireLink &) = delete;
   WireLink &operator=(const WireLink &) = delete;
 
