--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -331,6 +331,7 @@
 
 void CallerSession::resetAnswer() {
   this->HasAnswerHead = false;
+  this->AnswerMetadata = {};
   this->IsStreaming = false;
   this->IsAbandoned = false;
   this->HasContent = false;
@@ -645,6 +646,10 @@
        {"reason", Reason},
        {"status", static_cast<std::int64_t>(
                       this->HasAnswerHead ? this->AnswerHttpHead.Status : 0)},
+       {"retry_after_ms", this->AnswerMetadata.RetryAfter
+                              ? milliseconds(*this->AnswerMetadata.RetryAfter)
+                              : -1},
+       {"leaving", static_cast<std::int64_t>(this->AnswerMetadata.Leaving)},
        {"last_event",
         static_cast<std::int64_t>(this->Relay.lastId().value_or(0))},
        {"prompt_parts", formatPromptParts(this->Suspects)},
--- a/Libraries/LibEntry/EndpointProtocol.h
+++ b/Libraries/LibEntry/EndpointProtocol.h
@@ -64,6 +64,11 @@
   /// Requests in a second that the endpoint takes from all hosts together; 0 if
   /// it names no limit.
   double RequestLimit = 0;
+  /// The time in which the endpoint wants no requests from this host; empty if
+  /// it names none.
+  std::optional<Duration> RetryAfter = {};
+  /// The endpoint is leaving and takes nothing new.
+  bool Leaving = false;
   /// The body has a content encoding, so it isn't the endpoint's own bytes.
   bool Encoded = false;
 };
