Tests: Reproduce endpoints that ask for a pause or leave, and get requests

The simulated endpoints name a time in Retry-After when they turn a request away, and say that they leave in their answers only. They learn which host sent a request: a link now connects from the address of its client, and an exchange gives the address of its caller.

--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -108,6 +108,7 @@
   [[nodiscard]] const HttpRequest &request() const override {
     return this->CurrentRequest;
   }
+  [[nodiscard]] std::string callerIp() const override;
   asio::awaitable<void> respond(HttpResponse Response) override;
   asio::awaitable<void> startStream(HttpResponseHead Head) override;
   asio::awaitable<void> writeChunk(std::string Data) override;
@@ -160,6 +161,12 @@
   this->Stream.close();
 }
 
+std::string Connection::callerIp() const {
+  beast::error_code Error;
+  tcp::endpoint Caller = this->Stream.socket().remote_endpoint(Error);
+  return Error ? std::string() : Caller.address().to_string();
+}
+
 /// Reads one request. Returns false if the connection must be closed.
 asio::awaitable<bool> Connection::readRequest() {
   http::request_parser<http::string_body> Parser;
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -44,6 +44,8 @@
   virtual ~HttpExchange() = default;
 
   [[nodiscard]] virtual const HttpRequest &request() const = 0;
+  /// The IP address that the request came from; empty if it is not known.
+  [[nodiscard]] virtual std::string callerIp() const { return {}; }
 
   /// Writes a complete response.
   virtual boost::asio::awaitable<void> respond(HttpResponse Response) = 0;
--- a/Libraries/LibStandIn/LinkStandIn.cpp
+++ b/Libraries/LibStandIn/LinkStandIn.cpp
@@ -115,6 +115,11 @@
 
 asio::awaitable<void> LinkStandIn::Implementation::connect(
     std::shared_ptr<ProxiedConnection> Connection) {
+  // The server sees the client's address, as it does without the link.
+  boost::system::error_code Ignored;
+  Connection->Server.open(this->TargetAddress.protocol(), Ignored);
+  Connection->Server.bind(
+      {asio::ip::make_address(Connection->ClientIp, Ignored), 0}, Ignored);
   auto [Error] =
       co_await Connection->Server.async_connect(this->TargetAddress, UseTuple);
   if (Error || this->modeOf(*Connection) == LinkMode::Cut) {
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -320,6 +320,45 @@
   this->verifyRun();
 }
 
+// Guards against endpoints that turn a request away and name a time in which
+// they want none from that host, and that get them all the same.
+TEST_F(PlatformProcesses, EndpointsGetNoRequestsInThePauseThatTheyAskFor) {
+  constexpr std::size_t Allowed = 2;
+  this->Caller.start(4 * Callers, std::chrono::milliseconds(20));
+  this->sleep(seconds(1));
+  this->Deployment.endpoints().setRequestedPause(seconds(3));
+  this->sleep(seconds(10));
+  this->Deployment.endpoints().setRequestedPause(Duration::zero());
+  this->sleep(seconds(4));
+  for (std::size_t Host = 3; Host < this->Deployment.hosts(); ++Host)
+    for (CallKind Kind : {CallKind::Stream, CallKind::Post, CallKind::Get})
+      PlatformDeployment::waitFor("calls are answered after the pause", [&] {
+        return this->Caller.callOnce(Host, Kind) == CallEnd::Answered;
+      });
+  this->Caller.stop();
+  EXPECT_GT(this->Deployment.endpoints().requestedPauses(), 10U);
+  EXPECT_LE(this->Deployment.endpoints().mostArrivalsInPause(), Allowed);
+  EXPECT_GT(this->Caller.counts().count(CallEnd::Answered), 300U);
+  this->verifyRun();
+}
+
+// Guards against an endpoint that says in its answers that it leaves, and gets
+// new requests from hosts that have passed such an answer on, since its
+// heartbeats do not say so yet.
+TEST_F(PlatformProcesses, EndpointThatSaysItLeavesGetsNothingNew) {
+  constexpr auto DrainTime = seconds(2);
+  this->Caller.start(4 * Callers, std::chrono::milliseconds(20));
+  this->sleep(seconds(1));
+  std::size_t Count = this->Deployment.endpoints().size();
+  for (std::size_t Index = 0; Index < Count / 3; ++Index)
+    this->Deployment.endpoints().leaveInAnswersOnly(Index);
+  this->sleep(seconds(6));
+  this->Caller.stop();
+  EXPECT_EQ(this->Deployment.endpoints().arrivalsAfterLeaving(DrainTime), 0U);
+  EXPECT_GT(this->Caller.counts().count(CallEnd::Answered), 300U);
+  this->verifyRun();
+}
+
 TEST(LogVocabularyPage, ListsEveryEventAndField) {
   std::ifstream File(std::string(CAROBHINGE_SOURCE_FOLDER) +
                      "/docs/OPERATIONS.md");
--- a/Tests/PlatformWorld/EndpointSimulator.cpp
+++ b/Tests/PlatformWorld/EndpointSimulator.cpp
@@ -90,6 +90,37 @@
   return Most;
 }
 
+std::size_t EndpointSimulator::mostArrivalsInPause() const {
+  std::lock_guard Guard(this->ArrivalLock);
+  std::size_t Most = 0;
+  for (const auto &[Pair, Record] : this->Pauses)
+    Most = std::max(Most, Record.MostArrivals);
+  return Most;
+}
+
+std::size_t EndpointSimulator::requestedPauses() const {
+  std::lock_guard Guard(this->ArrivalLock);
+  std::size_t Count = 0;
+  for (const auto &[Pair, Record] : this->Pauses)
+    Count += Record.Requested;
+  return Count;
+}
+
+void EndpointSimulator::leaveInAnswersOnly(std::size_t Index) {
+  this->call(Index, &PlatformEndpoint::leaveInAnswersOnly);
+}
+
+std::size_t EndpointSimulator::arrivalsAfterLeaving(Duration Grace) const {
+  std::lock_guard Guard(this->ArrivalLock);
+  std::size_t Count = 0;
+  for (const auto &[Pair, Record] : this->Leavings)
+    Count += static_cast<std::size_t>(
+        std::ranges::count_if(Record.Arrivals, [&](TimePoint At) {
+          return At - Record.SaidAt > Grace;
+        }));
+  return Count;
+}
+
 void EndpointSimulator::setCrashingPart(std::string Part) {
   asio::post(this->Context, [this, Part = std::move(Part)]() mutable {
     this->CrashingPart = std::move(Part);
--- a/Tests/PlatformWorld/EndpointSimulator.h
+++ b/Tests/PlatformWorld/EndpointSimulator.h
@@ -77,6 +77,20 @@
   /// of those that arrived after \p From.
   [[nodiscard]] std::size_t mostLimitedArrivals(TimePoint From,
                                                 Duration Window) const;
+  /// Two of three endpoints turn each request away from now on, and ask the
+  /// host that sent it for a pause of \p Length; zero: none.
+  void setRequestedPause(Duration Length) { this->RequestedPause = Length; }
+  /// The most requests that an endpoint got from one host between half a second
+  /// after it had asked it for a pause and the end of that pause.
+  [[nodiscard]] std::size_t mostArrivalsInPause() const;
+  /// Requests that were turned away with a pause, over all endpoints.
+  [[nodiscard]] std::size_t requestedPauses() const;
+  /// From now on endpoint \p Index says in its answers that it leaves, while
+  /// its heartbeats go on to say that it is ready.
+  void leaveInAnswersOnly(std::size_t Index);
+  /// Requests that such endpoints got from a host later than \p Grace after
+  /// that host had received such an answer.
+  [[nodiscard]] std::size_t arrivalsAfterLeaving(Duration Grace) const;
   /// From now on an engine crashes when it begins to write an answer to a
   /// prompt with \p Part ("ID", hexadecimal), and restarts after a while.
   void setCrashingPart(std::string Part);
@@ -111,9 +125,27 @@
   std::string CrashingPart;
   std::string CrashingTarget;
   std::atomic<double> RequestLimit = 0;
+  std::atomic<Duration> RequestedPause = Duration::zero();
   mutable std::mutex ArrivalLock;
   /// By engine that names a limit.
   std::map<EndpointName, std::vector<TimePoint>> LimitedArrivals;
+  /// By endpoint and the IP address of the host: the pauses that the endpoint
+  /// asked for, the arrivals in the newest one that count, and the most so far.
+  struct PauseRecord {
+    TimePoint From;
+    TimePoint Until;
+    std::size_t Requested = 0;
+    std::size_t Arrivals = 0;
+    std::size_t MostArrivals = 0;
+  };
+  std::map<std::pair<EndpointName, std::string>, PauseRecord> Pauses;
+  /// By endpoint that leaves and host: when it first said so, and the arrivals
+  /// since then.
+  struct LeavingRecord {
+    TimePoint SaidAt;
+    std::vector<TimePoint> Arrivals;
+  };
+  std::map<std::pair<EndpointName, std::string>, LeavingRecord> Leavings;
   std::atomic<unsigned> CrashingArrivals = 0;
   std::atomic<unsigned> CrashedEngines = 0;
   std::atomic<std::size_t> EndlessBytes = 0;
--- a/Tests/PlatformWorld/PlatformEndpoint.cpp
+++ b/Tests/PlatformWorld/PlatformEndpoint.cpp
@@ -77,6 +77,7 @@
     return;
   this->IsRunning = true;
   this->IsDraining = false;
+  this->LeavesInAnswers = false;
   this->StartedAtMs = wallMilliseconds();
   this->Sequence = 0;
   if (this->isEngine()) {
@@ -261,17 +262,63 @@
   }
 }
 
-static HttpResponse notRunResponse(unsigned Status) {
-  HttpResponse Response{.Status = Status, .Body = R"({"error":"not run"})"};
+HttpHeaders PlatformEndpoint::answerFields(const HttpRequest &Request) const {
+  HttpHeaders Fields;
+  Fields.add(platform::AttemptIdField,
+             Request.Headers.value(platform::AttemptIdField));
+  if (this->IsDraining || this->LeavesInAnswers)
+    Fields.add(platform::LeavingField, "1");
+  return Fields;
+}
+
+asio::awaitable<void> PlatformEndpoint::refuse(HttpExchange &Exchange,
+                                               unsigned Status,
+                                               Duration Pause) {
+  HttpResponse Response{.Status = Status,
+                        .Headers = this->answerFields(Exchange.request()),
+                        .Body = R"({"error":"not run"})"};
   Response.Headers.add(platform::NotRunField, "1");
-  return Response;
+  if (Pause > Duration::zero())
+    Response.Headers.add(
+        platform::RetryAfterField,
+        std::to_string(std::chrono::duration<double>(Pause).count()));
+  co_await Exchange.respond(std::move(Response));
+}
+
+Duration PlatformEndpoint::recordArrivalFrom(const HttpExchange &Exchange) {
+  /// Requests that are on their way when a host learns of a pause.
+  static constexpr auto PauseGrace = std::chrono::milliseconds(500);
+  std::pair Pair{this->Id, Exchange.callerIp()};
+  TimePoint Now = monotonicNow();
+  Duration Length = hash64(this->Id) % 3 == 0
+                        ? Duration::zero()
+                        : this->Endpoints.RequestedPause.load();
+  std::lock_guard Guard(this->Endpoints.ArrivalLock);
+  if (this->LeavesInAnswers)
+    this->Endpoints.Leavings
+        .try_emplace(Pair, EndpointSimulator::LeavingRecord{.SaidAt = Now,
+                                                            .Arrivals = {}})
+        .first->second.Arrivals.push_back(Now);
+  EndpointSimulator::PauseRecord &Record = this->Endpoints.Pauses[Pair];
+  if (Now < Record.Until) {
+    if (Now >= Record.From)
+      Record.MostArrivals = std::max(Record.MostArrivals, ++Record.Arrivals);
+    return Record.Until - Now;
+  }
+  if (Length > Duration::zero()) {
+    Record.From = Now + PauseGrace;
+    Record.Until = Now + Length;
+    Record.Arrivals = 0;
+    ++Record.Requested;
+  }
+  return Length;
 }
 
 asio::awaitable<void> PlatformEndpoint::handle(HttpExchange &Exchange) {
   const HttpRequest &Request = Exchange.request();
   std::string_view Expected = Request.Headers.value(platform::ExpectedField);
   if (!Expected.empty() && Expected != this->Id)
-    co_return co_await Exchange.respond(notRunResponse(421));
+    co_return co_await this->refuse(Exchange, 421);
   if (Request.path() == "/order")
     co_return co_await this->handleOrder(Exchange);
   if (Request.path() == "/report" || Request.path() == "/healthz") {
@@ -289,6 +336,11 @@
   if (Request.Headers.value(platform::DeadlineField).empty())
     this->Endpoints.Executions.reportViolation(
         "a request without its deadline");
+  if (this->isEngine() && !this->isServing())
+    co_return co_await this->refuse(Exchange, 421);
+  Duration Pause = this->recordArrivalFrom(Exchange);
+  if (Pause > Duration::zero())
+    co_return co_await this->refuse(Exchange, 503, Pause);
   if (this->isEngine())
     co_return co_await this->handleGeneration(Exchange);
   co_await this->handlePlainRequest(Exchange);
@@ -341,8 +393,6 @@
 asio::awaitable<void>
 PlatformEndpoint::handleGeneration(HttpExchange &Exchange) {
   const HttpHeaders &Fields = Exchange.request().Headers;
-  if (!this->isServing())
-    co_return co_await Exchange.respond(notRunResponse(421));
   const GroupMember &Member = this->Endpoints.Pool.member(this->Id);
   if (Fields.value(platform::ModelField) != Member.model())
     this->Endpoints.Executions.reportViolation(
@@ -351,7 +401,7 @@
       static_cast<std::size_t>(this->Endpoints.Options.Engines.Slots) +
       QueueLimit;
   if (this->Generations.size() >= MaxGenerations)
-    co_return co_await Exchange.respond(notRunResponse(503));
+    co_return co_await this->refuse(Exchange, 503);
   this->recordLimitedArrival();
   if (this->isCrashing(Exchange.request()))
     ++this->Endpoints.CrashingArrivals;
@@ -367,8 +417,7 @@
   if (ResumedEvents > 0 &&
       ResumedEvents * StandInTokensPerEvent >= AnswerTokens) {
     // The caller has all events; only the end of the stream was lost.
-    HttpResponseHead Head =
-        this->streamHead(std::string(Fields.value(platform::AttemptIdField)));
+    HttpResponseHead Head = this->streamHead(Exchange.request());
     co_await Exchange.startStream(std::move(Head));
     co_return co_await Exchange.finishStream();
   }
@@ -399,10 +448,10 @@
 }
 
 HttpResponseHead
-PlatformEndpoint::streamHead(const std::string &AttemptId) const {
-  HttpResponseHead Head{.Status = 200,
-                        .Headers = {{"Content-Type", "text/event-stream"}}};
-  Head.Headers.add(platform::AttemptIdField, AttemptId);
+PlatformEndpoint::streamHead(const HttpRequest &Request) const {
+  HttpResponseHead Head{.Status = 200, .Headers = this->answerFields(Request)};
+  std::string AttemptId(Request.Headers.value(platform::AttemptIdField));
+  Head.Headers.add("Content-Type", "text/event-stream");
   Head.Headers.add(platform::SignatureField, "stamp-" + digest(AttemptId));
   if (double Limit = this->requestLimit(); Limit > 0)
     Head.Headers.add(platform::RequestLimitField, std::to_string(Limit));
@@ -418,7 +467,7 @@
     Current.Failed = true;
     Current.Progress.fire();
   });
-  HttpResponseHead Head = this->streamHead(AttemptId);
+  HttpResponseHead Head = this->streamHead(Exchange.request());
   bool HeadSent = false;
   int Written = 0;
   while (!Current.Failed && (Written < Current.Events || !Current.Finished)) {
@@ -446,7 +495,7 @@
     co_return co_await Exchange.finishStream();
   if (Exchange.callerDisconnected() || !this->IsRunning || HeadSent)
     throw boost::system::system_error(asio::error::connection_reset);
-  co_await Exchange.respond(notRunResponse(503));
+  co_await this->refuse(Exchange, 503);
 }
 
 asio::awaitable<void>
@@ -472,7 +521,7 @@
   std::string AttemptId(
       Exchange.request().Headers.value(platform::AttemptIdField));
   if (this->Active >= PlainSlots)
-    co_return co_await Exchange.respond(notRunResponse(503));
+    co_return co_await this->refuse(Exchange, 503);
   if (Exchange.request().path().ends_with(EndlessPath))
     co_return co_await this->writeWithoutEnd(Exchange);
   const std::string &CrashingTarget = this->Endpoints.CrashingTarget;
@@ -490,8 +539,8 @@
                    asio::detached);
     throw boost::system::system_error(asio::error::connection_reset);
   }
-  HttpResponse Response{.Body = expectedBody(AttemptId)};
-  Response.Headers.add(platform::AttemptIdField, AttemptId);
+  HttpResponse Response{.Headers = this->answerFields(Exchange.request()),
+                        .Body = expectedBody(AttemptId)};
   Response.Headers.add(platform::SignatureField, "stamp-" + digest(AttemptId));
   co_await Exchange.respond(std::move(Response));
 }
--- a/Tests/PlatformWorld/PlatformEndpoint.h
+++ b/Tests/PlatformWorld/PlatformEndpoint.h
@@ -29,6 +29,7 @@
   void crash();
   void restart();
   void drain();
+  void leaveInAnswersOnly() { this->LeavesInAnswers = true; }
   void setPace(double Factor) {
     this->Pace = Factor;
     if (this->Model)
@@ -68,7 +69,16 @@
   /// The limit that this engine names; 0 if none.
   [[nodiscard]] double requestLimit() const;
   void recordLimitedArrival();
-  [[nodiscard]] HttpResponseHead streamHead(const std::string &AttemptId) const;
+  /// Returns the pause to ask the sender of \p Exchange for; zero if it is
+  /// served.
+  [[nodiscard]] Duration recordArrivalFrom(const HttpExchange &Exchange);
+  /// The fields of each answer to \p Request.
+  [[nodiscard]] HttpHeaders answerFields(const HttpRequest &Request) const;
+  /// Answers that the request did not run, and asks for \p Pause unless that
+  /// is zero.
+  boost::asio::awaitable<void> refuse(HttpExchange &Exchange, unsigned Status,
+                                      Duration Pause = Duration::zero());
+  [[nodiscard]] HttpResponseHead streamHead(const HttpRequest &Request) const;
   [[nodiscard]] boost::json::object state() const;
   void advanceMembership();
   void advanceWork(TimePoint Now);
@@ -84,6 +94,8 @@
   std::unique_ptr<LinkStandIn> Link;
   bool IsRunning = true;
   bool IsDraining = false;
+  /// Says that it leaves in its answers, but not in its heartbeats.
+  bool LeavesInAnswers = false;
   std::int64_t StartedAtMs;
   std::uint64_t Sequence = 0;
   int Active = 0;
