LibRouting: Send nothing to endpoints in the pause that they ask for

Cause: Retry-After in an endpoint's answer was not read. What followed a refusal was the host's own back-off, which an event of another stream resets, a new list of members drops, and which doesn't hold if there is no other target.

Change: EndpointHoldOffs decides for one host, by the life of an endpoint (the leader now publishes it with the target). Retries, resumed streams, probes and admitted requests all pass Dispatcher::chooseTarget(); a request that was chosen before the answer came is checked once more before its first byte. A pause is no failure and no capacity, and ends with one request, at a time that differs by host. If all endpoints of a service are in a pause, the request is refused at once, with the end of the first pause as Retry-After.

--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -242,6 +242,8 @@
                           const EngineRecord &Endpoint) {
     Target.set_endpoint(Endpoint.Report.Id);
     Target.set_address(Endpoint.Report.Address);
+    Target.set_endpoint_life(
+        static_cast<std::uint64_t>(Endpoint.Report.StartedAtMs));
     Target.set_service(Endpoint.Report.Service);
     Target.set_failure_domain(Endpoint.Report.FailureDomain);
     if (auto Limit = this->Limits.find(Endpoint.Report.Id);
@@ -295,6 +297,7 @@
   return Left.endpoint() == Right.endpoint() &&
          Left.address() == Right.address() && Left.mode() == Right.mode() &&
          Left.epoch() == Right.epoch() &&
+         Left.endpoint_life() == Right.endpoint_life() &&
          Left.request_limit() == Right.request_limit() &&
          (Left.still_cold_ms() > 0) == (Right.still_cold_ms() > 0);
 }
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -256,12 +256,17 @@
                            .AllowFull = this->MayHaveRun};
     DispatchChoice Choice = this->Context.State.RequestDispatcher.chooseTarget(
         monotonicNow(), Wanted);
-    if (this->AttemptCount == 0 && (Choice.Target || Choice.AllFull))
+    if (this->AttemptCount == 0 &&
+        (Choice.Target || Choice.AllFull || Choice.PausedUntil))
       this->Context.State.recordArrival(monotonicNow(), this->TargetService,
                                         this->CallerRequest.Model,
-                                        Choice.AllFull);
+                                        !Choice.Target);
     if (!Choice.Target && Choice.AllFull)
       co_return co_await this->endWithoutAnswer("all places are full");
+    if (!Choice.Target && Choice.PausedUntil)
+      co_return co_await this->endWithoutAnswer("all places asked for a pause",
+                                                RefusalCause::EndpointsPaused,
+                                                Choice.PausedUntil);
     if (!Choice.Target)
       co_return co_await this->endWithoutAnswer("no place",
                                                 RefusalCause::NoTarget);
@@ -304,14 +309,17 @@
         .recordRequest(this->ArrivedAt);
 }
 
-Duration CallerSession::returnTime(RefusalCause Cause) const {
+Duration CallerSession::returnTime(RefusalCause Cause,
+                                   std::optional<TimePoint> PausedUntil) const {
+  TimePoint Now = monotonicNow();
+  Duration PauseLeft = PausedUntil ? *PausedUntil - Now : Duration::zero();
   Duration Objective = this->MatchedRoute != nullptr
                            ? this->MatchedRoute->Objective
                            : Duration::zero();
   return this->Context.State
       .returnTime(this->TargetService, this->CallerRequest.Model)
-      .estimate(monotonicNow(), Cause, Objective, this->remainingTime(),
-                randomFraction());
+      .estimate(Now, Cause, Objective, this->remainingTime(), randomFraction(),
+                PauseLeft);
 }
 
 bool CallerSession::canRetry() {
@@ -335,6 +343,7 @@
   this->IsStreaming = false;
   this->IsAbandoned = false;
   this->HasContent = false;
+  this->IsPaused = false;
   this->IsUnusable = false;
   this->AnswerBody.clear();
   this->Relay.restart();
@@ -354,6 +363,11 @@
   Options.ChunkTimeout = this->remainingTime();
   Options.FreshConnection = !this->MatchedRoute->isSafeToRetry();
   Options.CompleteOnClose = true;
+  Options.BeforeWrite = [this] {
+    this->IsPaused = !this->Context.State.RequestDispatcher.mayWrite(
+        monotonicNow(), this->CurrentAttempt);
+    return !this->IsPaused;
+  };
   Options.MatchesCall = [this](const HttpResponseHead &Head) {
     ResponseMetadata HeadMetadata = this->Context.Protocol.readAnswer(Head);
     return HeadMetadata.AttemptId.empty() ||
@@ -485,8 +499,9 @@
   bool CancelledHere =
       this->DeadlinePassed || this->Exchange.callerDisconnected();
   if (End == HttpCallOutcome::NotWritten) {
-    DispatchResult Result =
-        CancelledHere ? DispatchResult::Cancelled : DispatchResult::Unreachable;
+    DispatchResult Result = CancelledHere    ? DispatchResult::Cancelled
+                            : this->IsPaused ? DispatchResult::Paused
+                                             : DispatchResult::Unreachable;
     this->endAttempt(Result, ConnectionEnd::Orderly);
     this->logAttempt(Result);
     if (Result == DispatchResult::Unreachable) {
@@ -500,8 +515,10 @@
   bool IsComplete = End == HttpCallOutcome::Complete && this->HasAnswerHead &&
                     !this->IsUnusable;
   if (IsComplete && this->AnswerMetadata.NotRun) {
-    this->endAttempt(DispatchResult::Refused, ConnectionEnd::Orderly);
-    this->logAttempt(DispatchResult::Refused);
+    DispatchResult Result =
+        this->IsPaused ? DispatchResult::Paused : DispatchResult::Refused;
+    this->endAttempt(Result, ConnectionEnd::Orderly);
+    this->logAttempt(Result);
     co_return NextStep::Retry;
   }
   // From here on an endpoint may have run the request.
@@ -593,8 +610,9 @@
 /// Ends the request without an endpoint's answer. Refuses with 503 only if no
 /// endpoint may have run the request; otherwise answers that the outcome is
 /// unknown. A started stream is cut off.
-asio::awaitable<void> CallerSession::endWithoutAnswer(std::string_view Reason,
-                                                      RefusalCause Cause) {
+asio::awaitable<void>
+CallerSession::endWithoutAnswer(std::string_view Reason, RefusalCause Cause,
+                                std::optional<TimePoint> PausedUntil) {
   if (this->Exchange.callerDisconnected())
     co_return this->recordOutcome("dropped", "caller gone");
   if (this->StreamStarted) {
@@ -602,7 +620,8 @@
     throw boost::system::system_error(asio::error::operation_aborted);
   }
   if (!this->MayHaveRun)
-    co_return co_await this->refuse(503, Reason, this->returnTime(Cause));
+    co_return co_await this->refuse(503, Reason,
+                                    this->returnTime(Cause, PausedUntil));
   this->recordOutcome("unknown", Reason);
   HttpResponse Unknown = this->Context.Protocol.makeRefusal(
       this->DeadlinePassed ? 504 : 502, Reason, std::nullopt);
@@ -615,6 +634,8 @@
     return "answered";
   case DispatchResult::Refused:
     return "refused-by-endpoint";
+  case DispatchResult::Paused:
+    return "endpoint-paused";
   case DispatchResult::Failed:
     return "endpoint-failed";
   case DispatchResult::Unreachable:
@@ -683,10 +704,12 @@
                                              this->CurrentAttempt);
   // A request that reached another endpoint by mistake says nothing about this
   // one.
-  if (Head.Status != 421)
+  if (Head.Status != 421) {
     this->Context.State.RequestDispatcher.recordLimit(
         monotonicNow(), this->CurrentAttempt,
         this->AnswerMetadata.RequestLimit);
+    this->recordHoldOff(Head.Status);
+  }
   this->IsStreaming = this->AnswerMetadata.IsEventStream && Head.Status < 300 &&
                       this->MatchedRoute->Retries == RetryRule::Stream &&
                       !this->AnswerMetadata.Encoded;
@@ -697,6 +720,16 @@
   co_await this->Exchange.startStream(std::move(CallerHead));
 }
 
+void CallerSession::recordHoldOff(unsigned Status) {
+  Dispatcher &RequestDispatcher = this->Context.State.RequestDispatcher;
+  Duration Pause = this->AnswerMetadata.RetryAfter.value_or(Duration::zero());
+  // 429 bounds the requests of this host as 503 does those of all.
+  if ((Status == 503 || Status == 429) && Pause > Duration::zero()) {
+    this->IsPaused = true;
+    RequestDispatcher.recordPause(monotonicNow(), this->CurrentAttempt, Pause);
+  }
+}
+
 void CallerSession::rejectAnswer() {
   this->IsUnusable = true;
   if (this->CallControl != nullptr)
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -88,14 +88,20 @@
   /// Returns whether a permit for \p Parts lets this request run. Uses it up.
   [[nodiscard]] bool isTrial(const PromptParts &Parts);
   void rejectAnswer();
+  /// Takes note of a pause that the answer asks for, and of an endpoint that
+  /// leaves.
+  void recordHoldOff(unsigned Status);
   void recordAcquittal();
   /// Ends the newest attempt at the dispatcher and the crash detector.
   void endAttempt(DispatchResult Result, ConnectionEnd End);
   boost::asio::awaitable<void>
   endWithoutAnswer(std::string_view Reason,
-                   RefusalCause Cause = RefusalCause::NoCapacity);
+                   RefusalCause Cause = RefusalCause::NoCapacity,
+                   std::optional<TimePoint> PausedUntil = std::nullopt);
   /// \returns when a caller that is refused for \p Cause should come back.
-  [[nodiscard]] Duration returnTime(RefusalCause Cause) const;
+  [[nodiscard]] Duration
+  returnTime(RefusalCause Cause,
+             std::optional<TimePoint> PausedUntil = std::nullopt) const;
   /// \returns whether the route and the retry budget allow another attempt.
   /// Takes one retry from the budget if so.
   bool canRetry();
@@ -135,6 +141,9 @@
   bool IsAbandoned = false;
   /// An event or a part of the body arrived.
   bool HasContent = false;
+  /// The endpoint asked for a pause, in this answer or before the request was
+  /// written.
+  bool IsPaused = false;
   /// The endpoint sent bytes that are no answer; the rest isn't read.
   bool IsUnusable = false;
 
--- a/Libraries/LibEntry/ControlSubscriber.cpp
+++ b/Libraries/LibEntry/ControlSubscriber.cpp
@@ -225,6 +225,7 @@
     Changed.push_back(
         {.Name = Message.name(),
          .Endpoint = Message.endpoint(),
+         .EndpointLife = Message.endpoint_life(),
          .Address = Message.address(),
          .Service = Message.service(),
          .Model = Message.model(),
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -60,6 +60,7 @@
   const DispatchTarget &Target = Candidate.Target;
   if (Target.Mode != DispatchTargetMode::Open ||
       this->DrainedDomains.contains(Target.FailureDomain) ||
+      this->HoldOffs.isLeaving(endpointOf(Candidate)) ||
       this->isStalled(Now, Candidate))
     return false;
   return Now >= Target.ColdUntil || this->canSendToCold(Now, Candidate);
@@ -202,6 +203,45 @@
   this->HasNewLimit = this->HasNewLimit || !this->NewLimits.empty();
 }
 
+TimePoint Dispatcher::recordPause(TimePoint Now, AttemptNumber Number,
+                                  Duration Length) {
+  auto Found = this->Attempts.find(Number);
+  if (Found == this->Attempts.end())
+    return Now;
+  this->removeUnlistedHoldOffs(Now);
+  std::uniform_real_distribution<double> Uniform(0, 1);
+  return this->HoldOffs.recordPause(Now, Found->second.Endpoint, Length,
+                                    Uniform(this->Random));
+}
+
+bool Dispatcher::recordLeaving(TimePoint Now, AttemptNumber Number) {
+  auto Found = this->Attempts.find(Number);
+  if (Found == this->Attempts.end())
+    return false;
+  this->removeUnlistedHoldOffs(Now);
+  return this->HoldOffs.recordLeaving(Now, Found->second.Endpoint);
+}
+
+bool Dispatcher::mayWrite(TimePoint Now, AttemptNumber Number) const {
+  auto Found = this->Attempts.find(Number);
+  return Found == this->Attempts.end() ||
+         this->HoldOffs.mayWrite(Now, Found->second.Endpoint);
+}
+
+/// Costs time in proportion to the targets, so it is done at most once in
+/// CleanUpInterval.
+void Dispatcher::removeUnlistedHoldOffs(TimePoint Now) {
+  static constexpr auto CleanUpInterval = std::chrono::seconds(10);
+  if (Now < this->NextCleanUpAt)
+    return;
+  this->NextCleanUpAt = Now + CleanUpInterval;
+  std::set<EndpointName> Listed;
+  for (const auto &[Name, Record] : this->Targets)
+    Listed.insert(Record.Target.Endpoint);
+  this->HoldOffs.removeUnlisted(
+      Now, [&](const EndpointName &Name) { return Listed.contains(Name); });
+}
+
 DispatchChoice Dispatcher::chooseTarget(TimePoint Now,
                                         const DispatchRequest &Request) {
   std::vector<TargetRecord *> Ready;
@@ -215,8 +255,11 @@
         std::ranges::find(Request.ExcludedTargets, Name) !=
             Request.ExcludedTargets.end())
       continue;
-    if (!this->isWithinLimit(Now, Record) ||
-        (!Request.AllowFull && this->isFull(Record, Request.Objective)))
+    if (!this->HoldOffs.mayReceive(Now, endpointOf(Record))) {
+      TimePoint End = this->HoldOffs.pauseEnd(endpointOf(Record)).value_or(Now);
+      Choice.PausedUntil = std::min(Choice.PausedUntil.value_or(End), End);
+    } else if (!this->isWithinLimit(Now, Record) ||
+               (!Request.AllowFull && this->isFull(Record, Request.Objective)))
       Choice.AllFull = true;
     else
       (Now < Record.BackOffUntil ? BackingOff : Ready).push_back(&Record);
@@ -233,8 +276,10 @@
   if (Now < Best->Target.ColdUntil)
     Best->NextColdRequestAt = Now + this->coldRequestInterval(Request.Service);
   Best->Pacer.acquire(Now);
+  this->HoldOffs.recordSent(Now, endpointOf(*Best));
   Choice.Target = Best->Target;
   Choice.AllFull = false;
+  Choice.PausedUntil.reset();
   return Choice;
 }
 
@@ -243,6 +288,7 @@
                                        bool IsStream) {
   AttemptNumber Number = ++this->LastAttempt;
   this->Attempts[Number] = {.TargetName = Name,
+                            .Endpoint = endpointOf(this->Targets[Name]),
                             .SentAt = Now,
                             .StartedAt = Now,
                             .LastProgressAt = Now,
@@ -272,6 +318,7 @@
   Record.StalledSince.reset();
   Record.SuspectedSince.reset();
   Record.ConsecutiveFailures = 0;
+  this->HoldOffs.recordServed(Current.Endpoint, Current.SentAt);
 }
 
 void Dispatcher::backOff(TimePoint Now, TargetRecord &Record) {
@@ -309,6 +356,7 @@
   if (Result == DispatchResult::Answered) {
     Record.ConsecutiveFailures = 0;
     Record.LastEventAt = Now;
+    this->HoldOffs.recordServed(Ended.Endpoint, Ended.SentAt);
   }
   if (Result == DispatchResult::Unreachable || Result == DispatchResult::Lost ||
       Result == DispatchResult::Refused)
@@ -372,8 +420,10 @@
     if (Record.Target.Service != Service || Record.Target.Model != Model)
       continue;
     Total.InFlight += Record.InFlight + Record.RemoteInFlight;
+    EndpointHoldOffs::Endpoint Endpoint = endpointOf(Record);
     bool Usable = Record.Target.Mode == DispatchTargetMode::Open &&
-                  !Record.StalledSince &&
+                  !Record.StalledSince && !this->HoldOffs.isLeaving(Endpoint) &&
+                  !this->HoldOffs.pauseEnd(Endpoint) &&
                   !this->DrainedDomains.contains(Record.Target.FailureDomain);
     if (Usable)
       Total.Slots += Record.Target.Slots;
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -15,6 +15,7 @@
 #include <LibCore/Names.h>
 #include <LibCore/Time.h>
 #include <LibFormation/DispatchTargetMode.h>
+#include <LibRouting/EndpointHoldOffs.h>
 #include <LibRouting/LimitDivision.h>
 #include <LibRouting/RequestPacer.h>
 #include <LibRouting/ServiceTimes.h>
@@ -36,6 +37,8 @@
 struct DispatchTarget {
   DispatchTargetName Name = {};
   EndpointName Endpoint = {};
+  /// Differs between two lives of the endpoint; 0 if it is not known.
+  Incarnation EndpointLife = 0;
   /// "IP:PORT".
   std::string Address = {};
   ServiceName Service = {};
@@ -103,6 +106,8 @@
   double ColdSafetyFactor = 0.8;
   /// Of the limits that endpoints name.
   LimitDivisionOptions Limits = {};
+  /// Of the pauses that endpoints ask for.
+  HoldOffOptions HoldOffs = {};
   std::uint64_t Seed = 1;
 };
 
@@ -123,6 +128,9 @@
   std::optional<DispatchTarget> Target = {};
   /// Suitable targets exist, but all of them are full.
   bool AllFull = false;
+  /// When the first pause ends, if the endpoints of all suitable targets asked
+  /// for one.
+  std::optional<TimePoint> PausedUntil = {};
 };
 
 using AttemptNumber = std::uint64_t;
@@ -138,6 +146,8 @@
   Answered,
   /// The endpoint reported that it has not run the request.
   Refused,
+  /// As Refused, and it asked for a pause.
+  Paused,
   /// The endpoint answered with a server error.
   Failed,
   /// Connection failed before a byte was sent.
@@ -152,7 +162,7 @@
 public:
   explicit Dispatcher(DispatchOptions Options)
       : Options(std::move(Options)), Random(this->Options.Seed),
-        Limits(this->Options.Limits) {}
+        Limits(this->Options.Limits), HoldOffs(this->Options.HoldOffs) {}
 
   /// Adds or changes targets. The statistics of a target are kept unless its
   /// endpoint, address or epoch changes.
@@ -174,6 +184,13 @@
   }
   /// This host's share, from 0 to 1, of the limits that endpoints name.
   void setLimitShare(double Share) { this->Limits.setLoadShare(Share); }
+  /// An answer asked for a pause of \p Length. \returns when it ends.
+  TimePoint recordPause(TimePoint Now, AttemptNumber Attempt, Duration Length);
+  /// An answer said that its endpoint leaves. \returns whether that is new.
+  bool recordLeaving(TimePoint Now, AttemptNumber Attempt);
+  /// \returns whether the request may still be written: its endpoint has not
+  /// asked for a pause since it was chosen.
+  [[nodiscard]] bool mayWrite(TimePoint Now, AttemptNumber Attempt) const;
   /// An answer named a limit, or none with 0.
   void recordLimit(TimePoint Now, AttemptNumber Attempt, double PerSecond);
   /// Limits that the control hosts don't know from this host yet.
@@ -256,6 +273,8 @@
   };
   struct Attempt {
     DispatchTargetName TargetName;
+    /// The target may get another endpoint while the attempt is in progress.
+    EndpointHoldOffs::Endpoint Endpoint;
     TimePoint SentAt;
     /// When the first event arrived; the request has a slot since then.
     TimePoint StartedAt;
@@ -267,6 +286,12 @@
   [[nodiscard]] bool isAvailable(TimePoint Now,
                                  const TargetRecord &Candidate) const;
   [[nodiscard]] bool isStalled(TimePoint Now, const TargetRecord &Record) const;
+  [[nodiscard]] static EndpointHoldOffs::Endpoint
+  endpointOf(const TargetRecord &Record) {
+    return {.Name = Record.Target.Endpoint,
+            .Number = Record.Target.EndpointLife};
+  }
+  void removeUnlistedHoldOffs(TimePoint Now);
   [[nodiscard]] bool isFull(const TargetRecord &Candidate,
                             Duration Objective) const;
   [[nodiscard]] bool canSendToCold(TimePoint Now,
@@ -290,6 +315,9 @@
   AttemptNumber LastAttempt = 0;
   std::mt19937_64 Random;
   LimitDivision Limits;
+  EndpointHoldOffs HoldOffs;
+  /// When to look for endpoints in HoldOffs that are no longer listed.
+  TimePoint NextCleanUpAt = TimePoint::min();
   bool HasNewSuspicion = false;
   std::map<EndpointName, LimitObservation> NewLimits;
   bool HasNewLimit = false;
--- a/Libraries/LibRouting/ReturnTime.cpp
+++ b/Libraries/LibRouting/ReturnTime.cpp
@@ -21,7 +21,7 @@
 
 Duration ReturnTime::estimate(TimePoint Now, RefusalCause Cause,
                               Duration Objective, Duration RemainingTime,
-                              double Random) const {
+                              double Random, Duration PauseLeft) const {
   switch (Cause) {
   case RefusalCause::NoState:
     return this->Options.NoState;
@@ -31,6 +31,12 @@
     return this->Options.NoTarget;
   case RefusalCause::CrashJudged:
     return this->Options.CrashJudged;
+  case RefusalCause::EndpointsPaused: {
+    std::chrono::duration<double> Soonest =
+        std::max(PauseLeft, this->Options.MinPause);
+    return std::chrono::duration_cast<Duration>(
+        Soonest * (1 + this->Options.Spread * Random));
+  }
   case RefusalCause::NoCapacity:
     break;
   }
--- a/Libraries/LibRouting/ReturnTime.h
+++ b/Libraries/LibRouting/ReturnTime.h
@@ -28,6 +28,8 @@
   NoTarget,
   /// All targets are full, or the attempts have failed.
   NoCapacity,
+  /// The endpoints of all targets asked this host for a pause.
+  EndpointsPaused,
   /// Engines crashed on such requests, and the newest crash is being judged.
   CrashJudged,
 };
@@ -44,6 +46,10 @@
   /// By then the reports of all hosts are in, and the decision is in force.
   Duration CrashJudged = std::chrono::milliseconds(1000);
 
+  /// The least time after which callers return to endpoints that asked for a
+  /// pause: the first request after it is answered by then.
+  Duration MinPause = std::chrono::milliseconds(100);
+
   /// Half-life of the arrivals and refusals that are taken into account.
   Duration HalfLife = std::chrono::seconds(1);
   /// Fraction of refused requests from which callers return as late as they
@@ -65,10 +71,12 @@
   void recordArrival(TimePoint Now, bool IsRefused);
 
   /// \returns the time until a caller refused for \p Cause should return.
-  /// \p Random is uniform in [0, 1).
+  /// \p Random is uniform in [0, 1). \p PauseLeft counts for EndpointsPaused
+  /// only.
   [[nodiscard]] Duration estimate(TimePoint Now, RefusalCause Cause,
                                   Duration Objective, Duration RemainingTime,
-                                  double Random) const;
+                                  double Random,
+                                  Duration PauseLeft = Duration::zero()) const;
 
 private:
   [[nodiscard]] double decay(TimePoint Now) const;
--- a/Tests/LibEntry/TestDispatcher.cpp
+++ b/Tests/LibEntry/TestDispatcher.cpp
@@ -85,6 +85,68 @@
   EXPECT_TRUE(Admits(28, 1000 * Millisecond));
 }
 
+TEST(Dispatcher, EndpointGetsNothingInItsPauseThoughThereIsNoOther) {
+  Dispatcher Selector = makeDispatcher();
+  Selector.update(makeGroups(1));
+  AttemptNumber Stream = Selector.beginAttempt(Start, "g0", true);
+  AttemptNumber Refused = Selector.beginAttempt(Start, "g0", true);
+  AttemptNumber Unwritten = Selector.beginAttempt(Start, "g0", true);
+  TimePoint End = Selector.recordPause(Start, Refused, seconds(3));
+  Selector.endAttempt(Start, Refused, DispatchResult::Paused);
+  EXPECT_FALSE(Selector.mayWrite(Start, Unwritten));
+  // An event of a stream in progress is no sign that the pause is over.
+  Selector.recordProgress(Start + seconds(1), Stream);
+  // Neither is another group with the same head.
+  DispatchTarget Changed = makeGroup(0);
+  Changed.Epoch = 5;
+  Selector.update({&Changed, 1});
+  DispatchChoice Choice =
+      Selector.chooseTarget(Start + seconds(2), LargeRequest);
+  EXPECT_FALSE(Choice.Target);
+  EXPECT_FALSE(Choice.AllFull);
+  EXPECT_EQ(Choice.PausedUntil, End);
+  EXPECT_EQ(Selector.modelLoad("sheets", "large").Slots, 0);
+  EXPECT_TRUE(Selector.chooseTarget(End, LargeRequest).Target);
+  // One request until the first one after the pause is answered.
+  EXPECT_FALSE(Selector.chooseTarget(End, LargeRequest).Target);
+  AttemptNumber Trial = Selector.beginAttempt(End, "g0", true);
+  Selector.recordProgress(End + 50 * Millisecond, Trial);
+  EXPECT_TRUE(
+      Selector.chooseTarget(End + 50 * Millisecond, LargeRequest).Target);
+}
+
+TEST(Dispatcher, PauseIsNoFailure) {
+  Dispatcher Selector = makeDispatcher();
+  Selector.update(makeGroups(1));
+  for (int I = 0; I < 5; ++I) {
+    AttemptNumber Attempt = Selector.beginAttempt(Start, "g0", true);
+    Selector.recordPause(Start, Attempt, seconds(1));
+    Selector.endAttempt(Start, Attempt, DispatchResult::Paused);
+  }
+  EXPECT_TRUE(
+      Selector.chooseTarget(Start + 1250 * Millisecond, LargeRequest).Target);
+  EXPECT_TRUE(Selector.findStalledAttempts(Start + seconds(1)).empty());
+  EXPECT_FALSE(Selector.consumeNewSuspicion());
+}
+
+TEST(Dispatcher, LeavingEndpointGetsNothingUntilItStartsAgain) {
+  Dispatcher Selector = makeDispatcher();
+  DispatchTarget Target = makeGroup(0);
+  Target.EndpointLife = 1;
+  Selector.update({&Target, 1});
+  AttemptNumber Attempt = Selector.beginAttempt(Start, "g0", true);
+  EXPECT_TRUE(Selector.recordLeaving(Start, Attempt));
+  Target.Epoch = 2;
+  Selector.update({&Target, 1});
+  DispatchChoice Choice =
+      Selector.chooseTarget(Start + seconds(60), LargeRequest);
+  EXPECT_FALSE(Choice.Target);
+  EXPECT_FALSE(Choice.PausedUntil);
+  Target.EndpointLife = 2;
+  Selector.update({&Target, 1});
+  EXPECT_TRUE(Selector.chooseTarget(Start + seconds(60), LargeRequest).Target);
+}
+
 TEST(Dispatcher, DrainedFailureDomainGetsNoRequests) {
   Dispatcher Selector = makeDispatcher();
   Selector.update(makeGroups(3));
--- a/Tests/LibRouting/TestReturnTime.cpp
+++ b/Tests/LibRouting/TestReturnTime.cpp
@@ -69,3 +69,15 @@
   RC_ASSERT(Estimate >= Duration::zero());
   RC_ASSERT(Estimate <= Remaining / 3 + 1 * Millisecond);
 }
+
+TEST(ReturnTime, CallersReturnSpreadAfterTheFirstPauseEnds) {
+  ReturnTime Times;
+  auto At = [&](Duration PauseLeft, double Random) {
+    return Times.estimate(TimePoint(), RefusalCause::EndpointsPaused,
+                          std::chrono::milliseconds(300),
+                          std::chrono::seconds(8), Random, PauseLeft);
+  };
+  EXPECT_EQ(At(std::chrono::seconds(2), 0), std::chrono::seconds(2));
+  EXPECT_GT(At(std::chrono::seconds(2), 0.9), std::chrono::milliseconds(2600));
+  EXPECT_EQ(At(std::chrono::seconds(-1), 0), std::chrono::milliseconds(100));
+}
