LibEntry: Send nothing new to endpoints that say they leave

Callers of such endpoints risk a cut-off request: DRAIN is broken by a request that reaches an endpoint later than drain_ms after the host has passed on an answer with Server-Leaving, whether or not a heartbeat has said so.

Cause: the field was not read; only heartbeats counted.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -728,6 +728,11 @@
     this->IsPaused = true;
     RequestDispatcher.recordPause(monotonicNow(), this->CurrentAttempt, Pause);
   }
+  if (this->AnswerMetadata.Leaving &&
+      RequestDispatcher.recordLeaving(monotonicNow(), this->CurrentAttempt))
+    logEvent(Severity::Info, "endpoint-leaving",
+             {{"request", this->CallerRequest.AttemptId},
+              {"endpoint", this->LastEndpoint}});
 }
 
 void CallerSession::rejectAnswer() {
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -34,6 +34,7 @@
        {"request", "endpoint", "place", "end", "reason", "status",
         "retry_after_ms", "leaving", "last_event", "prompt_parts", "in_flight",
         "slots", "after_ms"}},
+      {"endpoint-leaving", {"request", "endpoint"}},
       {"engine-crashed", {"endpoint", "prompts"}},
       {"prompt-refused", {"prompt_parts", "engines"}},
       {"prompt-lifted", {"prompt_parts"}},
