LibRouting: Keep to pauses that endpoints ask for on the own path too

Callers of the product's own interface met the same fault: an endpoint that asked for a pause got requests in it.

Cause, the same in a second router: what an endpoint named in Retry-After was not read at all (IdempotentCall told the router 200 ms whatever the answer said; NonIdempotentCall told it nothing), and the router cut a pause at 8 s, to the last target, and dropped it with a new number of the group.

Change: the router asks the same EndpointHoldOffs as the platform's dispatcher; a group keeps the pause of its head. The cut is gone. The slots of a paused target are no capacity; if nothing else is left, requests are refused at once (or handed on once, as before) with the end of the first pause. A request that was chosen before the answer came is checked before its first byte; that is no failure of the target.

--- a/Libraries/LibRouting/RoutedRequest.h
+++ b/Libraries/LibRouting/RoutedRequest.h
@@ -55,7 +55,8 @@
 
 struct AttemptOutcome {
   AttemptResult Result = AttemptResult::Complete;
-  /// With Overloaded: the back-off that the target requested.
+  /// The pause that the target's answer asked for; zero if it asked for none.
+  /// With Complete: the answer of a call that must not repeat.
   Duration RetryAfter = {};
 };
 
--- a/Libraries/LibRouting/Router.cpp
+++ b/Libraries/LibRouting/Router.cpp
@@ -151,6 +151,7 @@
 
 void Router::setTargets(TimePoint Now, std::span<const Target> Targets) {
   this->Table.replace(Targets);
+  this->continuePauses(Now);
   this->updateRates(Now);
   this->dispatchQueued(Now);
 }
@@ -320,6 +321,9 @@
                       ? NoTargetRetryAfter
                       : this->expectedWait(Now, Request);
   Wait = std::clamp(Wait, MinRetryAfter, MaxRetryAfter);
+  if (auto End = this->Table.firstPauseEnd();
+      End && this->Table.usableSlots() == 0)
+    Wait = std::max(*End - Now, MinRetryAfter);
   auto MaxJitter = static_cast<std::uint64_t>(
       static_cast<double>(Wait.count()) * RetryAfterJitter);
   return Wait + Duration(this->Random.below(MaxJitter + 1));
--- a/Libraries/LibRouting/Router.h
+++ b/Libraries/LibRouting/Router.h
@@ -20,6 +20,7 @@
 #include <LibRouting/AdmissionQueue.h>
 #include <LibRouting/AttemptBudget.h>
 #include <LibRouting/DeadlinePolicy.h>
+#include <LibRouting/EndpointHoldOffs.h>
 #include <LibRouting/LimitDivision.h>
 #include <LibRouting/RouterStatus.h>
 #include <LibRouting/RoutingEffect.h>
@@ -56,6 +57,9 @@
   void reportFirstByte(TimePoint Now, AttemptId Attempt);
   /// The attempt ended. Called exactly once for each Dispatch.
   void reportOutcome(TimePoint Now, AttemptId Attempt, AttemptOutcome Outcome);
+  /// Returns whether the attempt may still be written: its target has not asked
+  /// for a pause since the dispatch.
+  [[nodiscard]] bool mayWrite(TimePoint Now, AttemptId Attempt) const;
   /// The caller disconnected. No effect on a request that has ended.
   void callerDisconnected(TimePoint Now, RequestId Request);
 
@@ -122,6 +126,17 @@
                            TargetIndex ChosenTarget, AttemptOutcome Outcome);
   void recordOutcome(TimePoint Now, const RunningAttempt &Attempt,
                      AttemptOutcome Outcome);
+  void recordPause(TimePoint Now, TargetIndex Index, Duration Length);
+  /// The target answered and did not turn the request away. Returns whether that
+  /// ended a pause; queued requests may then be dispatched.
+  bool recordServed(const RunningAttempt &Attempt);
+  /// Keeps targets that are new in the list to a pause that they have asked
+  /// for.
+  void continuePauses(TimePoint Now);
+  /// The endpoint that gets the requests of \p Info. A group whose number
+  /// changes keeps it as long as its head has the same address.
+  [[nodiscard]] static EndpointHoldOffs::Endpoint
+  endpointOf(const Target &Info);
   void recordFirstByteTime(TimePoint Now, const RunningAttempt &Attempt);
   void updateHealth(const RunningAttempt &Attempt, Duration Time,
                     Duration TypicalTime);
@@ -152,6 +167,7 @@
   RandomGenerator Random;
 
   LimitDivision Limits;
+  EndpointHoldOffs HoldOffs;
   TargetTable Table;
   std::unordered_map<RequestId, ActiveRequest> ActiveRequests;
   std::unordered_map<AttemptId, RunningAttempt> Running;
--- a/Libraries/LibRouting/RouterAttempts.cpp
+++ b/Libraries/LibRouting/RouterAttempts.cpp
@@ -17,8 +17,6 @@
 /// a target that fails immediately would look idle and attract all requests.
 static constexpr Duration InitialBackoff = 250ms;
 static constexpr std::uint32_t MaxDoublings = 5;
-/// Maximum back-off that an overloaded target may request.
-static constexpr Duration MaxBackoff = 8s;
 
 /// A hedge starts when the first byte takes longer than this quantile of recent
 /// ones.
@@ -68,6 +66,11 @@
                .GroupNumber = Info.GroupNumber,
                .IsHedge = IsHedge,
                .IsResume = Active.AnswerStarted});
+  // The first request after a pause; the others wait for its answer.
+  EndpointHoldOffs::Endpoint Endpoint = endpointOf(Info);
+  this->HoldOffs.recordSent(Now, Endpoint);
+  if (auto TrialEnd = this->HoldOffs.pauseEnd(Endpoint))
+    this->Table.backOffUntil(ChosenTarget, *TrialEnd);
   std::optional<Duration> Delay;
   bool MayHedge = Active.Request.Idempotent && !Active.Request.Forwarded &&
                   !Active.AnswerStarted && !IsHedge;
@@ -76,6 +79,55 @@
   this->setTimer(Active, Delay ? std::optional(Now + *Delay) : std::nullopt);
 }
 
+EndpointHoldOffs::Endpoint Router::endpointOf(const Target &Info) {
+  if (Info.GroupNumber == 0)
+    return {.Name = Info.Name, .Number = Info.IncarnationNumber};
+  return {.Name = Info.Address, .Number = 0};
+}
+
+bool Router::mayWrite(TimePoint Now, AttemptId Attempt) const {
+  auto Found = this->Running.find(Attempt);
+  return Found == this->Running.end() ||
+         this->HoldOffs.mayWrite(
+             Now, endpointOf(this->Table[Found->second.ChosenTarget].Info));
+}
+
+void Router::recordPause(TimePoint Now, TargetIndex Index, Duration Length) {
+  constexpr std::uint64_t Steps = 1000;
+  double Fraction = static_cast<double>(this->Random.below(Steps)) / Steps;
+  this->Table.pauseUntil(
+      Index, this->HoldOffs.recordPause(
+                 Now, endpointOf(this->Table[Index].Info), Length, Fraction));
+}
+
+bool Router::recordServed(const RunningAttempt &Attempt) {
+  EndpointHoldOffs::Endpoint Endpoint =
+      endpointOf(this->Table[Attempt.ChosenTarget].Info);
+  bool WasPaused = this->HoldOffs.pauseEnd(Endpoint).has_value();
+  this->HoldOffs.recordServed(Endpoint, Attempt.StartedAt);
+  bool HasEnded = WasPaused && !this->HoldOffs.pauseEnd(Endpoint);
+  if (HasEnded)
+    this->Table.endBackOff(Attempt.ChosenTarget);
+  return HasEnded;
+}
+
+void Router::continuePauses(TimePoint Now) {
+  if (this->HoldOffs.size() == 0)
+    return;
+  std::set<EndpointName> Listed;
+  for (TargetIndex Index = 0; Index < this->Table.size(); ++Index) {
+    const TargetState &State = this->Table[Index];
+    if (State.Delisted)
+      continue;
+    EndpointHoldOffs::Endpoint Endpoint = endpointOf(State.Info);
+    Listed.insert(Endpoint.Name);
+    if (auto End = this->HoldOffs.pauseEnd(Endpoint); End && Now < *End)
+      this->Table.pauseUntil(Index, *End);
+  }
+  this->HoldOffs.removeUnlisted(
+      Now, [&](const EndpointName &Name) { return Listed.contains(Name); });
+}
+
 /// Starts a second attempt in parallel with a late one if capacity and budget
 /// allow it.
 void Router::hedge(TimePoint Now, ActiveRequest &Active) {
@@ -137,11 +189,14 @@
     return;
   if (!std::exchange(Found->second.FirstByteReceived, true))
     this->recordFirstByteTime(Now, Found->second);
+  bool HasPauseEnded = this->recordServed(Found->second);
   ActiveRequest &Active = this->ActiveRequests.at(Found->second.Request);
   Active.AnswerStarted = true;
   Active.MayHaveRun = true;
   this->setTimer(Active, std::nullopt);
   this->abandonAttempts(Active, Attempt);
+  if (HasPauseEnded)
+    this->dispatchQueued(Now);
 }
 
 void Router::reportOutcome(TimePoint Now, AttemptId Attempt,
@@ -168,8 +223,16 @@
 void Router::recordOutcome(TimePoint Now, const RunningAttempt &Attempt,
                            AttemptOutcome Outcome) {
   Duration Time = Now - Attempt.StartedAt;
+  if (Outcome.RetryAfter > Duration::zero())
+    return this->recordPause(Now, Attempt.ChosenTarget, Outcome.RetryAfter);
+  // Nothing was written because of a pause, which is no failure.
+  if (Outcome.Result == AttemptResult::FailedBeforeSend &&
+      !this->HoldOffs.mayWrite(
+          Now, endpointOf(this->Table[Attempt.ChosenTarget].Info)))
+    return;
   switch (Outcome.Result) {
   case AttemptResult::Complete:
+    this->recordServed(Attempt);
     this->Table.recordSuccess(Attempt.ChosenTarget);
     Attempt.Times->addSlotTime(Now, Time, Attempt.Cost);
     this->OverallTimes.addSlotTime(Now, Time, Attempt.Cost);
@@ -185,9 +248,7 @@
     return;
   }
   case AttemptResult::Overloaded:
-    this->Table.backOffUntil(
-        Attempt.ChosenTarget,
-        Now + std::clamp(Outcome.RetryAfter, InitialBackoff, MaxBackoff));
+    this->Table.backOffUntil(Attempt.ChosenTarget, Now + InitialBackoff);
     return;
   case AttemptResult::FailedBeforeSend:
   case AttemptResult::FailedAfterSend:
--- a/Libraries/LibRouting/TargetTable.cpp
+++ b/Libraries/LibRouting/TargetTable.cpp
@@ -53,7 +53,8 @@
 /// Updates the list of open targets and the totals after a change of a target.
 void TargetTable::updateAvailability(TargetIndex Index) {
   TargetState &State = this->States[Index];
-  bool IsUsable = !State.Delisted && !State.Info.Draining && !State.Excluded;
+  bool IsUsable = !State.Delisted && !State.Info.Draining && !State.Excluded &&
+                  !State.Paused;
   std::uint32_t Limit = IsUsable ? effectiveSlotLimit(State) : 0;
   this->TotalUsableSlots += Limit;
   this->TotalUsableSlots -= State.CountedSlots;
@@ -87,8 +88,7 @@
   TargetState &State = this->States[Index];
   State.Delisted = true;
   --this->ListedCount;
-  if (std::exchange(State.BackingOff, false))
-    this->BackoffEnds.erase({State.BackoffUntil, Index});
+  this->endBackOff(Index);
   this->endPause(Index);
   ++this->MembershipVersion;
   this->updateAvailability(Index);
@@ -214,6 +214,31 @@
   this->updateAvailability(Index);
 }
 
+void TargetTable::pauseUntil(TargetIndex Index, TimePoint EndsAt) {
+  TargetState &State = this->States[Index];
+  if (State.Delisted)
+    return;
+  State.Paused = true;
+  this->backOffUntil(Index, EndsAt);
+  this->updateAvailability(Index);
+}
+
+void TargetTable::endBackOff(TargetIndex Index) {
+  TargetState &State = this->States[Index];
+  if (!std::exchange(State.BackingOff, false))
+    return;
+  this->BackoffEnds.erase({State.BackoffUntil, Index});
+  State.Paused = false;
+  this->updateAvailability(Index);
+}
+
+std::optional<TimePoint> TargetTable::firstPauseEnd() const {
+  for (const auto &[EndsAt, Index] : this->BackoffEnds)
+    if (this->States[Index].Paused)
+      return EndsAt;
+  return std::nullopt;
+}
+
 bool TargetTable::isBackoffLimitReached() const {
   return 2 * (this->BackoffEnds.size() + 1) > this->ListedCount;
 }
@@ -226,10 +251,7 @@
 void TargetTable::endExpired(TimePoint Now) {
   while (!this->BackoffEnds.empty() &&
          this->BackoffEnds.begin()->first <= Now) {
-    TargetIndex Index = this->BackoffEnds.begin()->second;
-    this->BackoffEnds.erase(this->BackoffEnds.begin());
-    this->States[Index].BackingOff = false;
-    this->updateAvailability(Index);
+    this->endBackOff(this->BackoffEnds.begin()->second);
   }
   while (!this->PauseEnds.empty() && this->PauseEnds.begin()->first <= Now) {
     TargetIndex Index = this->PauseEnds.begin()->second;
--- a/Libraries/LibRouting/TargetTable.h
+++ b/Libraries/LibRouting/TargetTable.h
@@ -45,6 +45,9 @@
   /// No requests are sent before this time.
   TimePoint BackoffUntil;
   bool BackingOff = false;
+  /// The back-off is a pause that the target asked for; its slots don't count
+  /// as usable.
+  bool Paused = false;
   /// Spaces the requests to a target that names a limit.
   RequestPacer Pacer;
   /// This host has no share of the target's limit.
@@ -79,6 +82,11 @@
 
   /// Sends no requests to the target before \p EndsAt.
   void backOffUntil(TargetIndex Index, TimePoint EndsAt);
+  /// As backOffUntil(), because the target asked for it.
+  void pauseUntil(TargetIndex Index, TimePoint EndsAt);
+  void endBackOff(TargetIndex Index);
+  /// The first end of a pause that a target asked for.
+  [[nodiscard]] std::optional<TimePoint> firstPauseEnd() const;
   /// True if one more target in back-off would make them more than half of all
   /// targets. Failures of so many targets have a cause outside the targets.
   [[nodiscard]] bool isBackoffLimitReached() const;
--- a/Libraries/LibServe/IdempotentCall.cpp
+++ b/Libraries/LibServe/IdempotentCall.cpp
@@ -7,6 +7,7 @@
 
 #include <LibServe/IdempotentCall.h>
 
+#include <LibHTTP/DecimalField.h>
 #include <LibServe/Forwarding.h>
 #include <LibTelemetry/Log.h>
 #include <boost/asio/as_tuple.hpp>
@@ -22,7 +23,6 @@
 /// Maximum size of a buffered answer.
 static constexpr std::size_t MaxBufferedAnswerBytes = 8 * 1024 * 1024;
 static constexpr auto ChunkTimeout = std::chrono::seconds(10);
-static constexpr auto BusyRetryAfter = std::chrono::milliseconds(200);
 
 /// Returns whether the target refused the request.
 static bool isBusy(unsigned Status) { return Status == 503 || Status == 409; }
@@ -48,6 +48,9 @@
     this->IsSuccess = Head.Status < 300;
     this->IsFailure = Head.Status >= 500;
     this->Busy = isBusy(Head.Status);
+    if (Head.Status == 503)
+      this->Pause = parseRetryAfter(Head.Headers.value("Retry-After"))
+                        .value_or(Duration::zero());
     if (this->Busy)
       co_return;
     IdempotentCall &Call = this->Owner;
@@ -97,6 +100,8 @@
   }
 
   [[nodiscard]] bool busy() const { return this->Busy; }
+  /// The pause that the target asked for; zero if none.
+  [[nodiscard]] Duration pause() const { return this->Pause; }
   /// How the engine ended the connection, if this host did not.
   [[nodiscard]] ConnectionEnd connectionEnd(HttpCallOutcome End) const {
     if (End == HttpCallOutcome::Complete && !this->HasLength)
@@ -142,6 +147,7 @@
   TimePoint StartedAt = monotonicNow();
   TimePoint LastBytesAt = monotonicNow();
   bool Busy = false;
+  Duration Pause = Duration::zero();
   bool HasLength = false;
   bool IsSuccess = false;
   bool IsFailure = false;
@@ -274,7 +280,10 @@
   HttpCallOptions Options{
       .HeadTimeout = std::max<Duration>(this->Call.Deadline - monotonicNow(),
                                         std::chrono::milliseconds(1)),
-      .ChunkTimeout = ChunkTimeout};
+      .ChunkTimeout = ChunkTimeout,
+      .BeforeWrite = [this, Attempt = DispatchEffect.Attempt] {
+        return this->Routing.mayWrite(Attempt);
+      }};
   HttpCallOutcome End = HttpCallOutcome::Incomplete;
   PromptExchange &Prompts = this->Components.Prompts;
   bool IsModel = this->Call.Service->Kind == ServiceKind::Model;
@@ -296,7 +305,7 @@
                                         : Sink.connectionEnd(End));
   AttemptOutcome Outcome;
   if (End == HttpCallOutcome::Complete && Sink.busy())
-    Outcome = {AttemptResult::Overloaded, BusyRetryAfter};
+    Outcome = {AttemptResult::Overloaded, Sink.pause()};
   else if (End == HttpCallOutcome::Complete && this->Events.hasPartial())
     Outcome.Result = AttemptResult::FailedAfterSend;
   else if (End == HttpCallOutcome::Complete)
--- a/Libraries/LibServe/NonIdempotentCall.cpp
+++ b/Libraries/LibServe/NonIdempotentCall.cpp
@@ -9,6 +9,7 @@
 #include <LibServe/NonIdempotentCall.h>
 
 #include <LibCore/Hash.h>
+#include <LibHTTP/DecimalField.h>
 #include <LibLedger/Ledger.h>
 #include <LibTelemetry/Log.h>
 #include <boost/asio/as_tuple.hpp>
@@ -262,6 +263,7 @@
   if (const auto *DispatchEffect = std::get_if<Dispatch>(&Effect)) {
     this->Slot = DispatchEffect->Attempt;
     this->SlotResult = AttemptResult::Cancelled;
+    this->SlotPause = Duration::zero();
     this->SlotTarget = DispatchEffect->TargetName;
     this->SlotIncarnation = DispatchEffect->IncarnationNumber;
     this->handle(
@@ -288,7 +290,7 @@
   if (this->SlotResult != AttemptResult::Complete)
     this->Routing.callerDisconnected(this->QueuedRequest);
   this->Routing.reportOutcome(std::exchange(this->Slot, 0),
-                              {this->SlotResult, {}});
+                              {this->SlotResult, this->SlotPause});
   this->Routing.removeInbox(this->QueuedRequest);
 }
 
@@ -337,6 +339,9 @@
     this->recordBytes();
     this->Answer.Status = Head.Status;
     this->Answer.ContentType = Head.Headers.value("Content-Type");
+    if (Head.Status == 503)
+      this->Pause = parseRetryAfter(Head.Headers.value("Retry-After"))
+                        .value_or(Duration::zero());
     co_return;
   }
   asio::awaitable<void> chunk(std::string Data) override {
@@ -348,6 +353,8 @@
   }
 
   AnswerRead Answer;
+  /// The pause that the target asked for; zero if none.
+  Duration Pause{};
   TimePoint LastBytesAt = monotonicNow();
 
 private:
@@ -376,6 +383,8 @@
   // The decision is informed before the first byte is written and may cancel
   // the write.
   Options.BeforeWrite = [this, &Effect] {
+    if (!this->Routing.mayWrite(this->Slot))
+      return false;
     std::lock_guard Guard(this->Lock);
     for (const CallEffect &Each :
          this->Decision.handle(ByteWritten{Effect.Number}))
@@ -404,6 +413,7 @@
     this->handle(ConnectFailed{Effect.Number});
   } else if (Outcome == HttpCallOutcome::Complete) {
     this->SlotResult = AttemptResult::Complete;
+    this->SlotPause = Sink.Pause;
     Sink.Answer.Complete = true;
     this->handle(Sink.Answer);
   } else {
--- a/Libraries/LibServe/NonIdempotentCall.h
+++ b/Libraries/LibServe/NonIdempotentCall.h
@@ -98,6 +98,8 @@
   RequestId QueuedRequest = 0;
   /// The slot in use; zero if there is none.
   AttemptId Slot = 0;
+  /// The pause that the answer asked for; zero if none.
+  Duration SlotPause{};
   AttemptResult SlotResult = AttemptResult::Cancelled;
   /// The endpoint that the slot belongs to.
   std::string SlotTarget;
--- a/Libraries/LibServe/ServiceRouter.cpp
+++ b/Libraries/LibServe/ServiceRouter.cpp
@@ -57,6 +57,11 @@
   this->deliver();
 }
 
+bool ServiceRouter::mayWrite(AttemptId Attempt) const {
+  std::lock_guard Guard(this->Lock);
+  return this->Decisions.mayWrite(monotonicNow(), Attempt);
+}
+
 void ServiceRouter::reportOutcome(AttemptId Attempt, AttemptOutcome Outcome) {
   std::lock_guard Guard(this->Lock);
   this->Decisions.reportOutcome(monotonicNow(), Attempt, Outcome);
--- a/Libraries/LibServe/ServiceRouter.h
+++ b/Libraries/LibServe/ServiceRouter.h
@@ -33,6 +33,7 @@
   std::shared_ptr<RoutingInbox> makeInbox();
 
   void reportFirstByte(AttemptId Attempt);
+  [[nodiscard]] bool mayWrite(AttemptId Attempt) const;
   void reportOutcome(AttemptId Attempt, AttemptOutcome Outcome);
   void callerDisconnected(RequestId Request);
   /// The request needs no further effects.
