LibEntry: Prefer other endpoints while one limits the rate of requests

429 with Retry-After limits a rate; 503 wants nothing at all. An endpoint that answers 429 still takes a part of its requests. So its time makes the host prefer others (at most for MaxBackOff, as after failures), but the endpoint is used where all others are full.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -723,11 +723,15 @@
 void CallerSession::recordHoldOff(unsigned Status) {
   Dispatcher &RequestDispatcher = this->Context.State.RequestDispatcher;
   Duration Pause = this->AnswerMetadata.RetryAfter.value_or(Duration::zero());
-  // 429 bounds the requests of this host as 503 does those of all.
-  if ((Status == 503 || Status == 429) && Pause > Duration::zero()) {
+  if (Status == 503 && Pause > Duration::zero()) {
     this->IsPaused = true;
     RequestDispatcher.recordPause(monotonicNow(), this->CurrentAttempt, Pause);
   }
+  // The endpoint still takes some requests, which callers would miss where the
+  // others are full.
+  if (Status == 429 && Pause > Duration::zero())
+    RequestDispatcher.recordRateLimited(monotonicNow(), this->CurrentAttempt,
+                                        Pause);
   if (this->AnswerMetadata.Leaving &&
       RequestDispatcher.recordLeaving(monotonicNow(), this->CurrentAttempt))
     logEvent(Severity::Info, "endpoint-leaving",
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -214,6 +214,16 @@
                                     Uniform(this->Random));
 }
 
+void Dispatcher::recordRateLimited(TimePoint Now, AttemptNumber Number,
+                                   Duration Length) {
+  auto Found = this->Attempts.find(Number);
+  if (Found == this->Attempts.end())
+    return;
+  TargetRecord &Record = this->Targets[Found->second.TargetName];
+  Record.BackOffUntil = std::max(
+      Record.BackOffUntil, Now + std::min(Length, this->Options.MaxBackOff));
+}
+
 bool Dispatcher::recordLeaving(TimePoint Now, AttemptNumber Number) {
   auto Found = this->Attempts.find(Number);
   if (Found == this->Attempts.end())
@@ -327,7 +337,8 @@
        I < Record.ConsecutiveFailures && Length < this->Options.MaxBackOff; ++I)
     Length *= 2;
   ++Record.ConsecutiveFailures;
-  Record.BackOffUntil = Now + std::min(Length, this->Options.MaxBackOff);
+  Record.BackOffUntil = std::max(
+      Record.BackOffUntil, Now + std::min(Length, this->Options.MaxBackOff));
 }
 
 void Dispatcher::endAttempt(TimePoint Now, AttemptNumber Number,
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -186,6 +186,9 @@
   void setLimitShare(double Share) { this->Limits.setLoadShare(Share); }
   /// An answer asked for a pause of \p Length. \returns when it ends.
   TimePoint recordPause(TimePoint Now, AttemptNumber Attempt, Duration Length);
+  /// An answer turned its request away for the rate of this host's requests,
+  /// and named a time. Others are preferred for that time, at most MaxBackOff.
+  void recordRateLimited(TimePoint Now, AttemptNumber Attempt, Duration Length);
   /// An answer said that its endpoint leaves. \returns whether that is new.
   bool recordLeaving(TimePoint Now, AttemptNumber Attempt);
   /// \returns whether the request may still be written: its endpoint has not
