LibEntry: Count possible runs over all hosts that a request passes

What callers could see: a request that a host sent to one endpoint, and then handed on because it lost its links, runs at up to as many endpoints again as its route allows (BUDGET, the line on max_attempts).

Change: a host tells the one that it hands a request on to how many endpoints may have run it. The field is believed on the internal port only and never passed on to endpoints; a build without it reads 0, as before.

Evidence: CallProtocol.TellsTheNextEntryHostHowOftenARequestMayHaveRun; the field did not exist.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -49,7 +49,8 @@
     : Context(Context), Exchange(Exchange), IsForwarded(IsForwarded),
       CallerRequest(Context.Protocol.readCall(Exchange.request())),
       Routes(Context.State.Routes), ArrivedAt(monotonicNow()),
-      Relay(this->CallerRequest.ResumeAfter) {}
+      Relay(this->CallerRequest.ResumeAfter),
+      PossibleRuns(IsForwarded ? this->CallerRequest.PossibleRuns : 0) {}
 
 asio::awaitable<void> CallerSession::run() {
   if (!co_await this->admit())
@@ -394,7 +395,8 @@
   this->resetAnswer();
   this->CurrentAttempt = 0;
   DispatchMetadata Metadata{.RemainingTime = this->remainingTime(),
-                            .ResumeAfter = this->Relay.lastId()};
+                            .ResumeAfter = this->Relay.lastId(),
+                            .PossibleRuns = this->PossibleRuns};
   HttpRequest Request = this->Context.Protocol.makePeerRequest(
       this->Exchange.request(), Metadata);
   std::string Address =
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -152,8 +152,9 @@
   bool StreamStarted = false;
   /// True if an endpoint may have run the request.
   bool MayHaveRun = false;
-  /// Attempts that an endpoint may have run, that were sent, and all.
-  int PossibleRuns = 0;
+  /// Attempts that an endpoint may have run, also before the request was handed
+  /// on to this host; attempts that were sent from here, and all from here.
+  int PossibleRuns;
   int SentAttempts = 0;
   int AttemptCount = 0;
   /// Attempts in a row that could not be written to an engine.
--- a/Libraries/LibEntry/EndpointProtocol.h
+++ b/Libraries/LibEntry/EndpointProtocol.h
@@ -39,6 +39,9 @@
   PromptParts SharedParts = {};
   /// The id of the last event that the caller has, if it resumes a stream.
   std::optional<std::uint64_t> ResumeAfter = {};
+  /// Endpoints that may have run the request before another entry host handed
+  /// it on. To be believed from entry hosts only.
+  int PossibleRuns = 0;
 };
 
 /// Metadata that an entry host adds to a request that it forwards.
@@ -50,6 +53,8 @@
   /// Empty where the request needs no key.
   WorkspaceName Workspace = {};
   std::optional<std::uint64_t> ResumeAfter = {};
+  /// For entry hosts: endpoints that may have run the request.
+  int PossibleRuns = 0;
 };
 
 /// Metadata of an endpoint's answer.
@@ -87,7 +92,8 @@
   makeEndpointRequest(const HttpRequest &Call,
                       const DispatchMetadata &Metadata) const = 0;
   /// The request to another entry host, which handles it as if its caller had
-  /// sent it there. Of \p Metadata only the time and the resumption are added.
+  /// sent it there. Of \p Metadata only the time, the resumption and the
+  /// possible runs are added.
   [[nodiscard]] virtual HttpRequest
   makePeerRequest(const HttpRequest &Call,
                   const DispatchMetadata &Metadata) const = 0;
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -116,6 +116,42 @@
   EXPECT_EQ(Sent.Body, "b");
 }
 
+// Guards against a request that is handed on and runs at more endpoints than
+// its route allows, since each host counts for itself.
+TEST(CallProtocol, TellsTheNextEntryHostHowOftenARequestMayHaveRun) {
+  HttpRequest Call{.Method = "POST", .Target = "/p/1"};
+  Call.Headers.add(PossibleRunsField, "-7");
+  CallProtocol Protocol;
+  EXPECT_EQ(Protocol.readCall(Call).PossibleRuns, 0);
+  HttpRequest HandedOn = Protocol.makePeerRequest(Call, {.PossibleRuns = 1});
+  EXPECT_EQ(HandedOn.Headers.count(PossibleRunsField), 1U);
+  EXPECT_EQ(Protocol.readCall(HandedOn).PossibleRuns, 1);
+  EXPECT_EQ(Protocol.makePeerRequest(Call, {}).Headers.count(PossibleRunsField),
+            0U);
+  EXPECT_EQ(Protocol.makeEndpointRequest(HandedOn, {})
+                .Headers.count(PossibleRunsField),
+            0U);
+}
+
+// What an endpoint may write into these fields, and what is read from it.
+TEST(CallProtocol, ReadsPausesAndLeaving) {
+  auto Read = [](std::string_view RetryAfter, std::string_view Leaving) {
+    HttpResponseHead Head{.Status = 503};
+    Head.Headers.add("retry-after", RetryAfter);
+    Head.Headers.add("server-leaving", Leaving);
+    return CallProtocol().readAnswer(Head);
+  };
+  EXPECT_EQ(Read("1.5", "1").RetryAfter, std::chrono::milliseconds(1500));
+  EXPECT_FALSE(Read("-1", "0").RetryAfter);
+  EXPECT_TRUE(Read("0", "1").Leaving);
+  EXPECT_FALSE(Read("0", "0").Leaving);
+  HttpResponseHead Busy{.Status = 503};
+  Busy.Headers.add("Retry-After", "2");
+  EXPECT_EQ(EngineProtocol().readPause(Busy), std::chrono::seconds(2));
+  Busy.Status = 409;
+  EXPECT_EQ(EngineProtocol().readPause(Busy), Duration::zero());
+}
+
 TEST(CallProtocol, RecognizesRequestsThatDidNotRun) {
   CallProtocol Protocol;
   HttpResponseHead Full{.Status = 503};
