LibControl: Send no orders and probes in a pause that an engine asks for

The same cause elsewhere: the leader repeats orders and probes whatever the answers ask for, and they count like requests.

Change: the leader asks EndpointHoldOffs too. A held-back order is repeated like an unanswered one; a probe that is not sent is no evidence. Simulated engines turn orders and probes away as well; the regression test crashes three engines in the pause, so that orders follow. The soak draws pauses and endpoints that leave, and counts what they get; a host that restarts, freezes or has a faulty link is excused.

--- a/Libraries/LibControl/ControlProtocol.h
+++ b/Libraries/LibControl/ControlProtocol.h
@@ -60,6 +60,9 @@
   [[nodiscard]] virtual HttpRequest
   makeOrderRequest(const EngineOrder &Order) const = 0;
   [[nodiscard]] virtual OrderResult readOrderResult(unsigned Status) const = 0;
+  /// The pause that an answer to an order or a probe asks for; zero if none.
+  [[nodiscard]] virtual Duration
+  readPause(const HttpResponseHead &Answer) const = 0;
   /// A request that every running engine answers; used to probe engines.
   [[nodiscard]] virtual HttpRequest makeProbeRequest() const = 0;
 };
--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -90,6 +90,9 @@
 
 void GroupCoordinator::updateLostEngines(TimePoint Now) {
   this->Engines.expire(Now - RemovalTime, Now - LeavingRemovalTime);
+  this->HoldOffs.removeUnlisted(Now, [&](const EndpointName &Id) {
+    return this->Engines.find(Id) != nullptr;
+  });
   std::erase_if(this->Limits, [&](const auto &Entry) {
     const EngineRecord *Record = this->Engines.find(Entry.first);
     return Record == nullptr || Record->FirstReportAt > Entry.second.SeenAt;
@@ -113,9 +116,40 @@
   }
 }
 
+EndpointHoldOffs::Endpoint
+GroupCoordinator::endpointOf(const EngineRecord &Record) {
+  return {.Name = Record.Report.Id,
+          .Number = static_cast<Incarnation>(Record.Report.StartedAtMs)};
+}
+
+bool GroupCoordinator::maySend(TimePoint Now, const EndpointName &Id) {
+  const EngineRecord *Record = this->Engines.find(Id);
+  if (Record == nullptr)
+    return true;
+  if (!this->HoldOffs.mayReceive(Now, endpointOf(*Record)))
+    return false;
+  this->HoldOffs.recordSent(Now, endpointOf(*Record));
+  return true;
+}
+
+void GroupCoordinator::recordAnswer(TimePoint SentAt, const EndpointName &Id,
+                                    const HttpResponseHead &Answer) {
+  const EngineRecord *Record = this->Engines.find(Id);
+  if (Record == nullptr)
+    return;
+  Duration Pause = this->Protocol.readPause(Answer);
+  // Only the leader sends orders, so there is nothing to spread.
+  if (Pause > Duration::zero())
+    this->HoldOffs.recordPause(monotonicNow(), endpointOf(*Record), Pause, 0);
+  else
+    this->HoldOffs.recordServed(endpointOf(*Record), SentAt);
+}
+
 void GroupCoordinator::probe(const EndpointName &Id) {
   const EngineRecord *Record = this->Engines.find(Id);
-  if (Record != nullptr)
+  if (!this->maySend(monotonicNow(), Id))
+    this->FailureDetector.probeSkipped(Id);
+  else if (Record != nullptr)
     asio::co_spawn(this->Executor,
                    this->probeEngine(Id, Record->Report.Address),
                    asio::detached);
@@ -130,13 +164,14 @@
   Options.ChunkTimeout = Timeout;
   Options.FreshConnection = true;
   HttpRequest Request = this->Protocol.makeProbeRequest();
+  TimePoint SentAt = monotonicNow();
   HttpFetchResult Answer =
       co_await this->Client.fetch(std::move(Address), std::move(Request),
                                   std::move(Options), MaxAnswerBytes);
-  if (Answer.Outcome == HttpCallOutcome::Complete)
-    this->FailureDetector.probeAnswered(monotonicNow(), Id);
-  else
-    this->FailureDetector.probeFailed(monotonicNow(), Id);
+  if (Answer.Outcome != HttpCallOutcome::Complete)
+    co_return this->FailureDetector.probeFailed(monotonicNow(), Id);
+  this->FailureDetector.probeAnswered(monotonicNow(), Id);
+  this->recordAnswer(SentAt, Id, Answer.Head);
 }
 
 static std::string_view verbName(OrderVerb Verb) {
@@ -158,12 +193,19 @@
   Options.ChunkTimeout = OrderTimeout;
   HttpRequest Request = this->Protocol.makeOrderRequest(Order);
   std::string Address = Order.Address;
-  HttpFetchResult Answer =
-      co_await this->Client.fetch(std::move(Address), std::move(Request),
-                                  std::move(Options), MaxAnswerBytes);
+  TimePoint SentAt = monotonicNow();
+  HttpFetchResult Answer;
+  // An order that is held back is sent again like one without an answer.
+  if (this->maySend(SentAt, Order.Recipient))
+    Answer = co_await this->Client.fetch(std::move(Address), std::move(Request),
+                                         std::move(Options), MaxAnswerBytes);
+  else
+    Answer.Body = "not sent: the engine asked for a pause";
   OrderResult Result = OrderResult::Unanswered;
-  if (Answer.Outcome == HttpCallOutcome::Complete)
+  if (Answer.Outcome == HttpCallOutcome::Complete) {
     Result = this->Protocol.readOrderResult(Answer.Head.Status);
+    this->recordAnswer(SentAt, Order.Recipient, Answer.Head);
+  }
   logEvent(Severity::Info, "order",
            {{"endpoint", Order.Recipient},
             {"verb", verbName(Order.Verb)},
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -15,6 +15,7 @@
 #include <LibFormation/EngineFailureDetector.h>
 #include <LibFormation/FormationPlanner.h>
 #include <LibHTTP/HttpClient.h>
+#include <LibRouting/EndpointHoldOffs.h>
 #include <LibSettings/HostSettings.h>
 #include <LibTelemetry/Metrics.h>
 #include <boost/asio/any_io_executor.hpp>
@@ -69,6 +70,13 @@
   void updateLostEngines(TimePoint Now);
   /// \returns whether a limit changed.
   bool recordLimits(TimePoint Now, const message::PulseCall &Call);
+  [[nodiscard]] static EndpointHoldOffs::Endpoint
+  endpointOf(const EngineRecord &Record);
+  /// Whether \p Id may get an order or a probe from this host. Counts it.
+  [[nodiscard]] bool maySend(TimePoint Now, const EndpointName &Id);
+  /// Takes note of a pause that an answer of \p Id asks for.
+  void recordAnswer(TimePoint SentAt, const EndpointName &Id,
+                    const HttpResponseHead &Answer);
   void logFleet(TimePoint Now);
   void probe(const EndpointName &Id);
   boost::asio::awaitable<void> probeEngine(EndpointName Id,
@@ -90,6 +98,8 @@
     TimePoint SeenAt;
   };
   std::map<EndpointName, NamedLimit> Limits;
+  /// Pauses that engines asked this host for.
+  EndpointHoldOffs HoldOffs;
   EngineFailureDetector FailureDetector;
   FormationPlanner Planner;
   bool Leading = false;
--- a/Libraries/LibFormation/EngineFailureDetector.cpp
+++ b/Libraries/LibFormation/EngineFailureDetector.cpp
@@ -84,6 +84,10 @@
     State.FailedAt = Now;
 }
 
+void EngineFailureDetector::probeSkipped(const EndpointName &Id) {
+  this->Probes[Id].Waiting = false;
+}
+
 std::set<EndpointName> EngineFailureDetector::lostEngines(TimePoint Now) {
   std::set<EndpointName> Lost;
   std::erase_if(this->Probes, [&](const auto &Entry) {
--- a/Libraries/LibFormation/EngineFailureDetector.h
+++ b/Libraries/LibFormation/EngineFailureDetector.h
@@ -64,10 +64,12 @@
   [[nodiscard]] bool isSuspect(TimePoint Now, const GroupName &Group) const;
 
   /// \returns the engines to probe now. The caller reports the outcome of each
-  /// probe by probeAnswered() or probeFailed().
+  /// probe by probeAnswered(), probeFailed() or probeSkipped().
   [[nodiscard]] std::vector<EndpointName> enginesToProbe(TimePoint Now);
   void probeAnswered(TimePoint Now, const EndpointName &Id);
   void probeFailed(TimePoint Now, const EndpointName &Id);
+  /// The engine was not probed, which says nothing about it.
+  void probeSkipped(const EndpointName &Id);
 
   /// \returns the engines that are considered lost at \p Now.
   [[nodiscard]] std::set<EndpointName> lostEngines(TimePoint Now);
--- a/Soak/FaultPlan.cpp
+++ b/Soak/FaultPlan.cpp
@@ -9,7 +9,7 @@
 namespace carobhinge {
 
 /// In the order of the enumerators of FaultKind.
-static constexpr std::array<const char *, 14> KindNames = {"kill",
+static constexpr std::array<const char *, 16> KindNames = {"kill",
                                                            "kill and wipe",
                                                            "stop",
                                                            "freeze",
@@ -22,7 +22,9 @@
                                                            "reload",
                                                            "change",
                                                            "crashing prompt",
-                                                           "request limit"};
+                                                           "request limit",
+                                                           "requested pause",
+                                                           "leaving endpoint"};
 /// In the order of the enumerators of LinkMode.
 static constexpr std::array<const char *, 5> ModeNames = {
     "delayed", "cut", "stalled", "one way", "dark"};
@@ -111,6 +113,7 @@
     case FaultKind::EndpointCrash:
     case FaultKind::EndpointSlow:
     case FaultKind::EndpointDrain:
+    case FaultKind::EndpointLeaving:
       return this->randomBelow(this->Options.Endpoints);
     default:
       return this->randomBelow(this->Options.Hosts);
--- a/Soak/FaultPlan.h
+++ b/Soak/FaultPlan.h
@@ -44,6 +44,10 @@
   CrashingPrompt,
   /// Engines name a limit of requests in a second.
   RequestLimit,
+  /// Endpoints turn requests away and ask for a pause.
+  RequestedPause,
+  /// An endpoint says that it leaves in its answers only.
+  EndpointLeaving,
 };
 
 struct Fault {
--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -30,6 +30,11 @@
 static constexpr auto CrashingCallInterval = std::chrono::milliseconds(400);
 /// Requests in a second that an engine names.
 static constexpr double SoakRequestLimit = 3;
+/// The pause that an endpoint asks for, the requests that it may get from a
+/// host in it, and the time after which one that leaves gets none.
+static constexpr auto SoakPause = std::chrono::milliseconds(1500);
+static constexpr std::size_t AllowedInPause = 2;
+static constexpr auto LeavingGrace = seconds(2);
 
 SoakRun::SoakRun(std::uint64_t Seed) : Caller(Deployment, Seed) {
   this->Faults =
@@ -44,8 +49,10 @@
 }
 
 void SoakRun::restartHost(std::size_t Host) {
-  if (this->StoppedHosts.erase(Host) > 0)
-    this->Deployment.startHost(Host);
+  if (this->StoppedHosts.erase(Host) == 0)
+    return;
+  this->Deployment.endpoints().excuseHost(this->Deployment.outgoingIp(Host));
+  this->Deployment.startHost(Host);
 }
 
 void SoakRun::changeCatalog() {
@@ -103,8 +110,24 @@
   }
 }
 
+/// A host forgets pauses when it restarts, and does not learn of them in time
+/// while it is frozen or a link is faulty.
+void SoakRun::excuseFrom(const Fault &Each) {
+  EndpointSimulator &Endpoints = this->Deployment.endpoints();
+  bool IsLink = Each.Kind == FaultKind::EndpointLink;
+  bool IsHost = Each.Kind == FaultKind::Kill || Each.Kind == FaultKind::Stop ||
+                Each.Kind == FaultKind::KillAndWipe ||
+                Each.Kind == FaultKind::Freeze;
+  if (IsLink)
+    Endpoints.excuseEndpoint(Each.Target);
+  if (IsHost)
+    Endpoints.excuseHost(this->Deployment.outgoingIp(Each.Target));
+}
+
 void SoakRun::injectFault(const Fault &Each) {
   EndpointSimulator &Endpoints = this->Deployment.endpoints();
+  this->excuseFrom(Each);
+  this->schedule(Each.Length, [this, Each] { this->excuseFrom(Each); });
   std::size_t Target = Each.Target;
   switch (Each.Kind) {
   case FaultKind::PeerLink:
@@ -151,6 +174,17 @@
     Endpoints.setRequestLimit(SoakRequestLimit);
     return this->schedule(Each.Length,
                           [&Endpoints] { Endpoints.setRequestLimit(0); });
+  case FaultKind::RequestedPause:
+    Endpoints.setRequestedPause(SoakPause);
+    return this->schedule(Each.Length, [&Endpoints] {
+      Endpoints.setRequestedPause(Duration::zero());
+    });
+  case FaultKind::EndpointLeaving:
+    Endpoints.leaveInAnswersOnly(Target);
+    this->schedule(seconds(4),
+                   [&Endpoints, Target] { Endpoints.crash(Target); });
+    return this->schedule(seconds(5),
+                          [&Endpoints, Target] { Endpoints.restart(Target); });
   default:
     return this->injectHostFault(Each);
   }
@@ -205,6 +239,13 @@
   for (std::string &Each :
        this->Caller.findViolations(this->Deployment.executionLog()))
     this->Violations.push_back(std::move(Each));
+  EndpointSimulator &Endpoints = this->Deployment.endpoints();
+  if (std::size_t Most = Endpoints.mostArrivalsInPause(); Most > AllowedInPause)
+    this->Violations.push_back("an endpoint got " + std::to_string(Most) +
+                               " requests in a pause that it had asked for");
+  if (std::size_t Count = Endpoints.arrivalsAfterLeaving(LeavingGrace))
+    this->Violations.push_back("endpoints that leave got " +
+                               std::to_string(Count) + " requests");
   std::vector<std::filesystem::path> Paths = this->Deployment.logs();
   for (std::string &Each : readLogs(Paths).Faults)
     this->Violations.push_back(std::move(Each));
--- a/Soak/SoakRun.h
+++ b/Soak/SoakRun.h
@@ -36,6 +36,7 @@
   };
   /// Starts a fault and schedules its end.
   void injectFault(const Fault &Each);
+  void excuseFrom(const Fault &Each);
   void schedule(Duration Delay, std::function<void()> Action);
   void injectHostFault(const Fault &Each);
   void restartHost(std::size_t Host);
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -327,7 +327,11 @@
   this->Caller.start(4 * Callers, std::chrono::milliseconds(20));
   this->sleep(seconds(1));
   this->Deployment.endpoints().setRequestedPause(seconds(3));
-  this->sleep(seconds(10));
+  this->sleep(seconds(1));
+  // The groups are formed again, by orders to engines that ask for a pause.
+  for (std::size_t Engine : {0U, 6U, 12U})
+    this->Deployment.endpoints().crash(Engine);
+  this->sleep(seconds(9));
   this->Deployment.endpoints().setRequestedPause(Duration::zero());
   this->sleep(seconds(4));
   for (std::size_t Host = 3; Host < this->Deployment.hosts(); ++Host)
--- a/Tests/PlatformWorld/EndpointSimulator.cpp
+++ b/Tests/PlatformWorld/EndpointSimulator.cpp
@@ -106,18 +106,47 @@
   return Count;
 }
 
+void EndpointSimulator::endRecords(
+    const std::function<bool(const EndpointAndHost &)> &IsMeant) {
+  std::lock_guard Guard(this->ArrivalLock);
+  for (auto &[Pair, Record] : this->Pauses)
+    if (IsMeant(Pair))
+      Record.Until = monotonicNow();
+  for (auto &[Pair, Record] : this->Leavings)
+    if (IsMeant(Pair))
+      this->EndedLeavings.push_back(Record);
+  std::erase_if(this->Leavings,
+                [&](const auto &Each) { return IsMeant(Each.first); });
+}
+
+void EndpointSimulator::excuseHost(const std::string &Ip) {
+  this->endRecords(
+      [&](const EndpointAndHost &Pair) { return Pair.second == Ip; });
+}
+
+void EndpointSimulator::excuseEndpoint(std::size_t Index) {
+  const EndpointName &Name = this->Endpoints.at(Index)->id();
+  this->endRecords(
+      [&](const EndpointAndHost &Pair) { return Pair.first == Name; });
+}
+
 void EndpointSimulator::leaveInAnswersOnly(std::size_t Index) {
   this->call(Index, &PlatformEndpoint::leaveInAnswersOnly);
 }
 
 std::size_t EndpointSimulator::arrivalsAfterLeaving(Duration Grace) const {
   std::lock_guard Guard(this->ArrivalLock);
-  std::size_t Count = 0;
-  for (const auto &[Pair, Record] : this->Leavings)
-    Count += static_cast<std::size_t>(
+  auto CountLate = [Grace](const LeavingRecord &Record) {
+    return static_cast<std::size_t>(
         std::ranges::count_if(Record.Arrivals, [&](TimePoint At) {
           return At - Record.SaidAt > Grace;
         }));
+  };
+  std::size_t Count = 0;
+  for (const auto &[Pair, Record] : this->Leavings)
+    Count += CountLate(Record);
+  for (const LeavingRecord &Record : this->EndedLeavings)
+    Count += CountLate(Record);
   return Count;
 }
 
--- a/Tests/PlatformWorld/EndpointSimulator.h
+++ b/Tests/PlatformWorld/EndpointSimulator.h
@@ -16,6 +16,7 @@
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -85,6 +86,10 @@
   [[nodiscard]] std::size_t mostArrivalsInPause() const;
   /// Requests that were turned away with a pause, over all endpoints.
   [[nodiscard]] std::size_t requestedPauses() const;
+  /// Does not count what a host, or what all hosts, send in pauses that were
+  /// asked for before now, or after an endpoint said that it leaves.
+  void excuseHost(const std::string &Ip);
+  void excuseEndpoint(std::size_t Index);
   /// From now on endpoint \p Index says in its answers that it leaves, while
   /// its heartbeats go on to say that it is ready.
   void leaveInAnswersOnly(std::size_t Index);
@@ -112,6 +117,10 @@
 
 private:
   friend class PlatformEndpoint;
+  /// Name of an endpoint, and IP address of a host that sends to it.
+  using EndpointAndHost = std::pair<EndpointName, std::string>;
+  /// Ends the pauses and the leaving of some pairs; what came so far counts.
+  void endRecords(const std::function<bool(const EndpointAndHost &)> &IsMeant);
   void call(std::size_t Index, void (PlatformEndpoint::*Action)());
   void add(const FailureDomainName &Domain, const FabricDomainName &Fabric);
 
@@ -138,14 +147,15 @@
     std::size_t Arrivals = 0;
     std::size_t MostArrivals = 0;
   };
-  std::map<std::pair<EndpointName, std::string>, PauseRecord> Pauses;
+  std::map<EndpointAndHost, PauseRecord> Pauses;
   /// By endpoint that leaves and host: when it first said so, and the arrivals
   /// since then.
   struct LeavingRecord {
     TimePoint SaidAt;
     std::vector<TimePoint> Arrivals;
   };
-  std::map<std::pair<EndpointName, std::string>, LeavingRecord> Leavings;
+  std::map<EndpointAndHost, LeavingRecord> Leavings;
+  std::vector<LeavingRecord> EndedLeavings;
   std::atomic<unsigned> CrashingArrivals = 0;
   std::atomic<unsigned> CrashedEngines = 0;
   std::atomic<std::size_t> EndlessBytes = 0;
--- a/Tests/PlatformWorld/PlatformDeployment.cpp
+++ b/Tests/PlatformWorld/PlatformDeployment.cpp
@@ -137,6 +137,10 @@
   return this->Hosts.at(Host).Ip + ":" + std::to_string(CallerPort);
 }
 
+std::string PlatformDeployment::outgoingIp(std::size_t Host) const {
+  return this->isControl(Host) ? "127.0.0.1" : this->Hosts.at(Host).Ip;
+}
+
 void PlatformDeployment::writeSettings(std::size_t Index) {
   const Host &OwnHost = this->Hosts[Index];
   auto AddressOf = [&](unsigned Port) {
--- a/Tests/PlatformWorld/PlatformDeployment.h
+++ b/Tests/PlatformWorld/PlatformDeployment.h
@@ -63,6 +63,8 @@
   /// The address at which callers reach entry host \p Host.
   [[nodiscard]] std::string callerAddress(std::size_t Host) const;
   bool isReady(std::size_t Host) const;
+  /// The IP address from which endpoints get the requests of \p Host.
+  [[nodiscard]] std::string outgoingIp(std::size_t Host) const;
 
   /// Returns the catalog of version \p Version: the fixed routes and one whose
   /// path prefix contains the version.
--- a/Tests/PlatformWorld/PlatformEndpoint.cpp
+++ b/Tests/PlatformWorld/PlatformEndpoint.cpp
@@ -80,6 +80,8 @@
   this->LeavesInAnswers = false;
   this->StartedAtMs = wallMilliseconds();
   this->Sequence = 0;
+  this->Endpoints.endRecords(
+      [this](const auto &Pair) { return Pair.first == this->Id; });
   if (this->isEngine()) {
     this->Endpoints.Pool.member(this->Id).restart();
     this->Endpoints.Pool.setRunning(this->Id, true);
@@ -319,6 +321,11 @@
   std::string_view Expected = Request.Headers.value(platform::ExpectedField);
   if (!Expected.empty() && Expected != this->Id)
     co_return co_await this->refuse(Exchange, 421);
+  bool IsControl = Request.path() == "/order" || Request.path() == "/report";
+  if (IsControl)
+    if (Duration Pause = this->recordArrivalFrom(Exchange);
+        Pause > Duration::zero())
+      co_return co_await this->refuse(Exchange, 503, Pause);
   if (Request.path() == "/order")
     co_return co_await this->handleOrder(Exchange);
   if (Request.path() == "/report" || Request.path() == "/healthz") {
--- a/Tests/PlatformWorld/PlatformEndpoint.h
+++ b/Tests/PlatformWorld/PlatformEndpoint.h
@@ -29,6 +29,7 @@
   void crash();
   void restart();
   void drain();
+  [[nodiscard]] const EndpointName &id() const { return this->Id; }
   void leaveInAnswersOnly() { this->LeavesInAnswers = true; }
   void setPace(double Factor) {
     this->Pace = Factor;
