--- a/Libraries/LibControl/ControlCalls.cpp
+++ b/Libraries/LibControl/ControlCalls.cpp
@@ -237,12 +237,37 @@
   return monotonicNow() - this->StartedAt < StartupElectionTimeout;
 }
 
+/// \returns the beginning of \p Text with other than printable ASCII replaced.
+static std::string printable(std::string_view Text, std::size_t MaxBytes) {
+  std::string Result(Text.substr(0, MaxBytes));
+  std::ranges::replace_if(
+      Result, [](char C) { return C < ' ' || C > '~'; }, '?');
+  return Result;
+}
+
+/// Logs the first refused report of each endpoint. Anybody can send reports, so
+/// the names are bounded in number and length.
+void ControlProcess::logRefusedReport(const EndpointName &Id,
+                                      const Findings &Out) {
+  static constexpr std::size_t MaxEndpoints = 256;
+  static constexpr std::size_t MaxNameBytes = 64;
+  static constexpr std::size_t MaxReportBytes = 512;
+  std::string Name = printable(Id, MaxNameBytes);
+  if (this->RefusedReporters.size() >= MaxEndpoints ||
+      !this->RefusedReporters.insert(Name).second)
+    return;
+  logEvent(Severity::Warning, "report-refused",
+           {{"endpoint", Name},
+            {"findings", printable(Out.report(), MaxReportBytes)}});
+}
+
 asio::awaitable<void> ControlProcess::handleReport(HttpExchange &Exchange,
                                                    EndpointName Id) {
   Findings Out;
   std::optional<EngineReport> Report =
       this->Protocol.readReport(Id, Exchange.request().Body, Out);
   if (!Report) {
+    this->logRefusedReport(Id, Out);
     HttpResponse Malformed = makeResponse(400);
     co_return co_await Exchange.respond(std::move(Malformed));
   }
--- a/Libraries/LibControl/ControlProcess.h
+++ b/Libraries/LibControl/ControlProcess.h
@@ -69,6 +69,7 @@
   boost::asio::awaitable<void> getCatalog(HttpExchange &Exchange);
   boost::asio::awaitable<void>
   setDomainDrained(HttpExchange &Exchange, std::string Domain, bool Drained);
+  void logRefusedReport(const EndpointName &Id, const Findings &Out);
   boost::asio::awaitable<void> handleReport(HttpExchange &Exchange,
                                             EndpointName Id);
   boost::asio::awaitable<void> handleLeave(HttpExchange &Exchange,
@@ -106,6 +107,8 @@
   Metrics ProcessMetrics;
   HttpServer MetricsServer;
   ReportBatch PendingReports;
+  /// Endpoints whose refused reports were logged; bounded.
+  std::set<EndpointName> RefusedReporters;
   /// When the last successful confirmation of leadership was requested.
   std::optional<TimePoint> LeadershipConfirmedAt;
   bool ConfirmationPending = false;
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -47,6 +47,7 @@
       {"state-agreed", {"version", "emptied_domains"}},
       {"change", {"version", "failure_domain", "emptied", "outcome"}},
       {"catalog-refused", {"findings"}},
+      {"report-refused", {"endpoint", "findings"}},
       {"engine-lost", {"endpoint", "group", "heard_ms_ago"}},
       {"engine-found", {"endpoint", "group", "heard_ms_ago"}},
       {"order", {"endpoint", "verb", "group", "epoch", "status", "answer"}},
--- a/Meta/CMake/Fuzz.cmake
+++ b/Meta/CMake/Fuzz.cmake
@@ -2,10 +2,10 @@
 # asked for, as every library must be instrumented too.
 option(CAROBHINGE_FUZZ "Build the fuzz targets" OFF)
 if(CAROBHINGE_FUZZ AND CMAKE_CXX_COMPILER_ID STREQUAL "Clang")
-  foreach(NAME Settings Intent Messages)
+  foreach(NAME Settings Intent Messages Reports)
     add_executable(Fuzz${NAME} EXCLUDE_FROM_ALL
                    ${CMAKE_SOURCE_DIR}/Fuzz/Fuzz${NAME}.cpp)
-    target_link_libraries(Fuzz${NAME} PRIVATE LibIntent)
+    target_link_libraries(Fuzz${NAME} PRIVATE LibIntent Platform)
     target_link_options(Fuzz${NAME} PRIVATE -fsanitize=fuzzer)
   endforeach()
 endif()
--- a/Meta/fuzz.sh
+++ b/Meta/fuzz.sh
@@ -6,7 +6,7 @@
 RUNS=${CAROBHINGE_FUZZ_RUNS:-20000}
 SEED=${CAROBHINGE_FUZZ_SEED:-20261203}
 folder=$PWD/Build/Fuzz
-targets=(Settings Intent Messages)
+targets=(Settings Intent Messages Reports)
 
 if [ ! -f "$folder/build.ninja" ]; then
   cmake -S . -B "$folder" -G Ninja -DCMAKE_BUILD_TYPE=Sanitize \
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -57,6 +57,88 @@
   }
 }
 
+// Guards against one odd entry of another writer that names no usable endpoint,
+// or whose names make the messages between control hosts too long or
+// unreadable, so that the reports of all others are lost with it.
+TEST(ReportDecoder, RejectsEntriesThatNameNoUsableEndpoint) {
+  EngineProtocol Protocol;
+  std::string Long(1024 * 1024, 'x');
+  std::string Deep = std::string(20000, '[') + std::string(20000, ']');
+  std::string Nested = std::string(30, '[') + std::string(30, ']');
+  std::string Staged = "\"staged\":[\"m\"";
+  for (int I = 0; I < 2000; ++I)
+    Staged += ",\"m" + std::to_string(I) + "\"";
+  for (const std::string &Text :
+       {replaceInHeartbeat("10.0.0.9:8080", "10.0.0.9:0"),
+        replaceInHeartbeat("10.0.0.9:8080", "10.0.0.9:65536"),
+        replaceInHeartbeat("10.0.0.9:8080", "10.0.0.9:"),
+        replaceInHeartbeat("10.0.0.9:8080", "10.0.0.9:-1"),
+        replaceInHeartbeat("10.0.0.9:8080", "0.0.0.0:80"),
+        replaceInHeartbeat("10.0.0.9:8080", "[fe80::1%" + Long + "]:80"),
+        replaceInHeartbeat("\"s\"", "\"" + Long + "\""),
+        replaceInHeartbeat("\"a\",\"version", "\"" + Long + "\",\"version"),
+        replaceInHeartbeat("m.g-7", Long),
+        replaceInHeartbeat("\"domain\":3", "\"domain\":\"" + Long + "\""),
+        replaceInHeartbeat("\"domain\":3", "\"domain\":" + Deep),
+        replaceInHeartbeat("\"domain\":3", "\"domain\":" + Nested),
+        replaceInHeartbeat("\"domain\":3", "\"domain\":{\"a\":1}"),
+        replaceInHeartbeat("[\"m\"]", "[\"" + Long + "\"]"),
+        replaceInHeartbeat("\"staged\":[\"m\"", Staged),
+        replaceInHeartbeat("\"born\":17", "\"born\":99999999999999999999"),
+        replaceInHeartbeat("\"born\":17", "\"born\":1e400"),
+        replaceInHeartbeat("\"seq\":4", "\"seq\":1e400"),
+        replaceInHeartbeat("\"slots\":26", "\"slots\":4294967296"),
+        replaceInHeartbeat("\"slots\":26", "\"slots\":-1"),
+        replaceInHeartbeat("1500", "1e400"),
+        replaceInHeartbeat("1500", "NaN"),
+        replaceInHeartbeat("1500", "-1"),
+        replaceInHeartbeat("\"epoch\":7", "\"epoch\":18446744073709551616"),
+        replaceInHeartbeat("\"rank\":1", "\"rank\":-2"),
+        std::string("3"),
+        std::string("\"text\""),
+        std::string("null")}) {
+    Findings Out;
+    EXPECT_FALSE(Protocol.readReport("i-1", Text, Out)) << Text.substr(0, 400);
+    EXPECT_FALSE(Out.empty()) << Text.substr(0, 400);
+    EXPECT_LT(Out.report().size(), 4096U);
+  }
+  for (const std::string &Id :
+       {std::string(), Long, std::string("\xff"), std::string("a b"),
+        std::string("a\nb"), std::string("a\0b", 3)}) {
+    Findings Out;
+    EXPECT_FALSE(Protocol.readReport(Id, Heartbeat, Out)) << Id.substr(0, 40);
+    EXPECT_FALSE(Out.empty());
+  }
+}
+
+TEST(CatalogDecoder, BoundsTimes) {
+  Findings Out;
+  auto Decoded = EngineProtocol().readCatalog(
+      R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",
+          "timeout_ms":1e18,"goal_ms":-1e18,"service":"s"}],
+          "services":[{"name":"s","engine":{"form_ms":1e18,
+            "models":[{"name":"m","load_s":1e18}]}}]})",
+      Out);
+  ASSERT_TRUE(Decoded) << Out.report();
+  EXPECT_GT(Decoded->Routes[0].Timeout, std::chrono::hours(1));
+  EXPECT_LT(Decoded->Routes[0].Objective, Duration::zero());
+  EXPECT_GT(Decoded->Services[0].Engine->Models[0].LoadTime,
+            std::chrono::hours(1));
+}
+
+TEST(CallProtocol, BoundsTheTimeThatACallerWaits) {
+  auto Read = [](std::string_view Text) {
+    HttpRequest Call{.Method = "GET", .Target = "/p/1"};
+    Call.Headers.add(DeadlineField, Text);
+    return CallProtocol().readCall(Call).TimeBudget;
+  };
+  EXPECT_EQ(Read("8000"), std::chrono::seconds(8));
+  EXPECT_EQ(Read("9223372036854775807"), std::chrono::hours(24));
+  EXPECT_EQ(Read("-9223372036854775808"), Duration::zero());
+  for (std::string_view Text : {"", "nan", "1e3", "99999999999999999999"})
+    EXPECT_FALSE(Read(Text)) << Text;
+}
+
 TEST(CatalogDecoder, DecodesRoutesServicesAndWorkspaces) {
   Findings Out;
   auto Decoded = EngineProtocol().readCatalog(
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -363,6 +363,52 @@
   this->verifyRun();
 }
 
+// Guards against odd entries of another writer among those of the endpoints
+// that end the processes which read them, or stop them from following the
+// others.
+TEST_F(PlatformProcesses, OddEntriesCostNothingButThemselves) {
+  std::string Long(900 * 1024, 'x');
+  auto Entry = [](const std::string &Address, const std::string &Domain) {
+    return R"({"service":"engines","addr":")" + Address +
+           R"(","zone":"a","slots":8,"state":"ready","cold_left_ms":0,)" +
+           R"("born":17,"seq":4,"domain":)" + Domain + "}";
+  };
+  const std::vector<std::pair<std::string, std::string>> Entries = {
+      {"deep", std::string(100000, '[')},
+      {"deep-domain",
+       Entry("127.0.0.1:80", std::string(5000, '[') + std::string(5000, ']'))},
+      {"large-number", Entry("127.0.0.1:80", "1e999999")},
+      {"no-port", Entry("127.0.0.1:0", "1")},
+      {"large-port", Entry("127.0.0.1:65536", "1")},
+      {"long-name", Entry("127.0.0.1:80", "\"" + Long + "\"")},
+      {"not-an-object", "[1,2]"},
+      {"\xff\xfe", Entry("127.0.0.1:80", "1")}};
+  this->Caller.start(Callers, Pause);
+  for (int Round = 0; Round < 3; ++Round)
+    for (std::size_t Host = 0; Host < 3; ++Host)
+      for (const auto &[Id, Body] : Entries) {
+        HttpRequest Request{.Method = "PUT",
+                            .Target = "/instances/" + Id,
+                            .Headers = {{"Content-Type", "application/json"}},
+                            .Body = Body};
+        HttpFetchResult Answer = blockingFetch(
+            this->Deployment.controlAddress(Host), std::move(Request));
+        EXPECT_EQ(Answer.Head.Status, 400U) << Id;
+      }
+  // The reports of the others are followed: a crash is noticed.
+  this->Deployment.endpoints().crash(0);
+  this->sleep(seconds(3));
+  this->Caller.stop();
+  std::vector<std::filesystem::path> Paths = this->Deployment.logs();
+  LogSummary Summary = readLogs(Paths);
+  EXPECT_EQ(Summary.Events["report-refused"], 3 * Entries.size());
+  EXPECT_GE(Summary.Events["engine-lost"], 1U);
+  for (std::size_t Host = 0; Host < this->Deployment.hosts(); ++Host)
+    EXPECT_TRUE(this->Deployment.process(Host).running()) << Host;
+  EXPECT_GT(this->Caller.counts().count(CallEnd::Answered), 100U);
+  this->verifyRun();
+}
+
 TEST(LogVocabularyPage, ListsEveryEventAndField) {
   std::ifstream File(std::string(CAROBHINGE_SOURCE_FOLDER) +
                      "/docs/OPERATIONS.md");
--- a/Tests/PlatformWorld/PlatformDeployment.cpp
+++ b/Tests/PlatformWorld/PlatformDeployment.cpp
@@ -133,6 +133,10 @@
   return Addresses;
 }
 
+std::string PlatformDeployment::controlAddress(std::size_t Host) const {
+  return this->Hosts.at(Host).Ip + ":" + std::to_string(ControlPort);
+}
+
 std::string PlatformDeployment::callerAddress(std::size_t Host) const {
   return this->Hosts.at(Host).Ip + ":" + std::to_string(CallerPort);
 }
--- a/Tests/PlatformWorld/PlatformDeployment.h
+++ b/Tests/PlatformWorld/PlatformDeployment.h
@@ -60,6 +60,8 @@
   /// then never have reached its caller.
   [[nodiscard]] bool hadRecentLinkFault(std::size_t Host) const;
 
+  /// The address at which endpoints and operators reach control host \p Host.
+  [[nodiscard]] std::string controlAddress(std::size_t Host) const;
   /// The address at which callers reach entry host \p Host.
   [[nodiscard]] std::string callerAddress(std::size_t Host) const;
   bool isReady(std::size_t Host) const;
