LibHTTP: Tell an earlier answer without an id from the one that is due

Reported by other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for what it was running.

Here: an answer with another id was discarded, and what must not repeat gets a connection of its own. But an answer without an id was believed on a kept connection too, and a status that promises 'not run' was passed on from an endpoint that did not say so. Answers to orders bear no id, and their connections were kept.

Change: findResponseOwner() decides by the ids, whether the connection has carried other calls, and whether bytes came before the request was written whole. An answer whose owner is unknown ends the attempt as one that may have run; it is no evidence of a crash or a lost link. 408, 421, 429 and 503 of an endpoint without its word become 502. Refusals of entry hosts bear the attempt's id, so that the same holds between them; orders get fresh connections.

HttpCallOptions::MatchesCall becomes FindOwner; the tests that used it check the same.

Evidence: HttpClient.EarlierResponseWrittenAgainIsNoResponseToTheNextCall, ResponseOwner.FollowsFromTheIdOrTheConnection pass; the old predicate returned true for the case without an id (argued from its code: the interface changed, so the test can't run on it).

--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -191,6 +191,9 @@
   Options.ConnectTimeout = OrderTimeout;
   Options.HeadTimeout = OrderTimeout;
   Options.ChunkTimeout = OrderTimeout;
+  // Answers to orders bear no id; an earlier one that is written again must not
+  // be read as the answer to this one.
+  Options.FreshConnection = true;
   HttpRequest Request = this->Protocol.makeOrderRequest(Order);
   std::string Address = Order.Address;
   TimePoint SentAt = monotonicNow();
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -38,6 +38,12 @@
 static constexpr std::string_view HeldBackReason =
     "an engine crashed on such a request, which is being judged";
 
+/// \returns whether callers take the status for the promise that a request has
+/// not run and never will.
+static bool promisesNotRun(unsigned Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 /// \returns a uniform random number in [0, 1).
 static double randomFraction() {
   static thread_local std::mt19937_64 Random{std::random_device{}()};
@@ -119,8 +125,8 @@
 CallerSession::refuse(unsigned Status, std::string_view Reason,
                       std::optional<Duration> RetryAfter) {
   this->recordOutcome("refused", Reason);
-  HttpResponse Refusal =
-      this->Context.Protocol.makeRefusal(Status, Reason, RetryAfter);
+  HttpResponse Refusal = this->Context.Protocol.makeRefusal(
+      Status, Reason, this->CallerRequest.AttemptId, RetryAfter);
   co_await this->Exchange.respond(std::move(Refusal));
 }
 
@@ -135,7 +141,7 @@
       IsRequest ? ", which may have run each time: request " : ": prompt part ";
   HttpResponse Refusal = this->Context.Protocol.makeRefusal(
       400, std::string(Reason) + Detail + formatPromptParts(Parts),
-      std::nullopt);
+      this->CallerRequest.AttemptId, std::nullopt);
   co_await this->Exchange.respond(std::move(Refusal));
 }
 
@@ -369,10 +375,13 @@
         monotonicNow(), this->CurrentAttempt);
     return !this->IsPaused;
   };
-  Options.MatchesCall = [this](const HttpResponseHead &Head) {
-    ResponseMetadata HeadMetadata = this->Context.Protocol.readAnswer(Head);
-    return HeadMetadata.AttemptId.empty() ||
-           HeadMetadata.AttemptId == this->CallerRequest.AttemptId;
+  Options.FindOwner = [this](const HttpResponseHead &Head,
+                             const ResponseContext &AnswerContext) {
+    ResponseOwner Owner =
+        findResponseOwner(this->Context.Protocol.readAnswer(Head).AttemptId,
+                          this->CallerRequest.AttemptId, AnswerContext);
+    this->IsUnusable = Owner == ResponseOwner::Unknown;
+    return Owner;
   };
   this->CallControl = &Control;
   std::optional<HttpCallOutcome> End;
@@ -541,7 +550,7 @@
                 !this->IsAbandoned && !this->IsUnusable &&
                 this->remainingTime() > MinAttemptTime;
   bool IsSilent = End == HttpCallOutcome::Incomplete && !this->HasAnswerHead &&
-                  !this->Exchange.callerDisconnected();
+                  !this->IsUnusable && !this->Exchange.callerDisconnected();
   if (IsLost || IsSilent || this->IsAbandoned)
     this->contact().recordFailure(monotonicNow(), this->LastEndpoint);
   // A probe is given up by this host.
@@ -577,6 +586,10 @@
       this->AttemptCount < MaxAttempts;
   if (ShouldRetry)
     co_return NextStep::Retry;
+  // Without the endpoint's word that the request has not run, its caller must
+  // not read that from the status.
+  if (promisesNotRun(this->AnswerHttpHead.Status))
+    co_return NextStep::GiveUp;
   HttpResponseHead Head =
       this->Context.Protocol.makeCallerHead(this->AnswerHttpHead);
   this->recordOutcome(Failed ? "endpoint-failed" : "answered", "");
@@ -626,7 +639,8 @@
                                     this->returnTime(Cause, PausedUntil));
   this->recordOutcome("unknown", Reason);
   HttpResponse Unknown = this->Context.Protocol.makeRefusal(
-      this->DeadlinePassed ? 504 : 502, Reason, std::nullopt);
+      this->DeadlinePassed ? 504 : 502, Reason, this->CallerRequest.AttemptId,
+      std::nullopt);
   co_await this->Exchange.respond(std::move(Unknown));
 }
 
--- a/Libraries/LibEntry/EndpointProtocol.h
+++ b/Libraries/LibEntry/EndpointProtocol.h
@@ -102,10 +102,11 @@
   /// The endpoint's head without the fields that concern only one connection.
   [[nodiscard]] virtual HttpResponseHead
   makeCallerHead(const HttpResponseHead &Answer) const = 0;
-  /// An answer with which this system itself refuses a request. \p RetryAfter:
-  /// when the caller should retry, if useful.
+  /// An answer with which this system itself refuses the attempt \p AttemptId.
+  /// \p RetryAfter: when the caller should retry, if useful.
   [[nodiscard]] virtual HttpResponse
   makeRefusal(unsigned Status, std::string_view Reason,
+              std::string_view AttemptId,
               std::optional<Duration> RetryAfter) const = 0;
 };
 
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -173,15 +173,25 @@
                                             std::move(Options))) {}
 HttpClient::~HttpClient() = default;
 
-/// Returns true if the peer has neither closed the idle connection nor sent
-/// bytes on it.
-static bool isStillOpen(beast::tcp_stream &Stream) {
+/// Looks for received bytes without reading them. \returns no error if there
+/// are any, would_block if the connection is open without any.
+static beast::error_code peek(beast::tcp_stream &Stream) {
   beast::error_code Error;
   char Byte = 0;
   Stream.socket().non_blocking(true, Error);
   Stream.socket().receive(asio::buffer(&Byte, 1), tcp::socket::message_peek,
                           Error);
-  return Error == asio::error::would_block;
+  return Error;
+}
+
+/// Returns true if the peer has neither closed the idle connection nor sent
+/// bytes on it.
+static bool isStillOpen(beast::tcp_stream &Stream) {
+  return peek(Stream) == asio::error::would_block;
+}
+
+static bool hasReceivedBytes(beast::tcp_stream &Stream) {
+  return !peek(Stream);
 }
 
 static http::request<http::string_body> toBeast(HttpRequest Request,
@@ -247,7 +257,7 @@
 /// are discarded.
 static asio::awaitable<ResponseReadResult>
 readResponse(beast::tcp_stream &Stream, const HttpCallOptions &Options,
-             HttpResponseSink &Sink) {
+             const ResponseContext &Context, HttpResponseSink &Sink) {
   ResponseReadResult Result;
   DiscardingSink Discarded;
   beast::flat_buffer Buffer;
@@ -263,8 +273,12 @@
       co_return Result;
     HttpResponseHead Head = responseHead(Parser);
     bool IsInterim = Head.Status < 200;
-    bool IsOwnResponse =
-        !IsInterim && (!Options.MatchesCall || Options.MatchesCall(Head));
+    ResponseOwner Owner = ResponseOwner::ThisCall;
+    if (!IsInterim && Options.FindOwner)
+      Owner = Options.FindOwner(Head, Context);
+    if (Owner == ResponseOwner::Unknown)
+      co_return Result;
+    bool IsOwnResponse = !IsInterim && Owner == ResponseOwner::ThisCall;
     OnlyOwnResponse = OnlyOwnResponse && (IsOwnResponse || IsInterim);
     HttpResponseSink &ReceivingSink = IsOwnResponse ? Sink : Discarded;
     co_await ReceivingSink.head(Head);
@@ -335,7 +349,9 @@
   if (WriteError)
     co_return Written == 0 ? HttpCallOutcome::NotWritten
                            : HttpCallOutcome::Incomplete;
-  ReadResult = co_await readResponse(Stream, Options, Sink);
+  ResponseContext ContextOfResponse{.IsReusedConnection = Connected,
+                                    .IsEarly = hasReceivedBytes(Stream)};
+  ReadResult = co_await readResponse(Stream, Options, ContextOfResponse, Sink);
   Stream.expires_never();
   co_return ReadResult.Complete ? HttpCallOutcome::Complete
                                 : HttpCallOutcome::Incomplete;
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -12,6 +12,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHTTP/HttpMessage.h>
+#include <LibHTTP/ResponseOwner.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
@@ -44,10 +45,13 @@
   /// Called immediately before the first byte is written. Returning false ends
   /// the call as NotWritten.
   std::function<bool()> BeforeWrite = {};
-  /// Returns true if a response belongs to this call. Any other response is
-  /// discarded, the next response on the connection is read instead, and the
-  /// connection is not reused.
-  std::function<bool(const HttpResponseHead &)> MatchesCall = {};
+  /// Returns the owner of a response; without it, all belong to this call. A
+  /// response to another call is discarded, the next response on the connection
+  /// is read instead, and the connection is not reused. One whose owner is
+  /// unknown ends the call as Incomplete.
+  std::function<ResponseOwner(const HttpResponseHead &,
+                              const ResponseContext &)>
+      FindOwner = {};
   /// Treats a response without a length as complete if the peer closed the
   /// connection in order. If false, a response without a length never counts as
   /// complete.
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -303,14 +303,53 @@
   std::array<char, 4096> Request{};
 };
 
+/// An endpoint that keeps a connection and sends the next of given responses
+/// for each request, then closes.
+class KeptEndpoint {
+public:
+  KeptEndpoint(asio::io_context &Context, std::vector<std::string> Responses)
+      : Acceptor(Context, parseAddress("127.0.0.1:0")), Socket(Context),
+        Responses(std::move(Responses)) {
+    this->Acceptor.async_accept(this->Socket, [this](auto) {
+      ++this->Connections;
+      this->respond(0);
+    });
+  }
+  std::string address() {
+    return formatAddress(this->Acceptor.local_endpoint());
+  }
+  [[nodiscard]] int connections() const { return this->Connections; }
+
+private:
+  void respond(std::size_t Index) {
+    this->Socket.async_read_some(
+        asio::buffer(this->Request), [this, Index](auto Error, auto) {
+          if (Error || Index == this->Responses.size())
+            return this->Socket.close();
+          asio::write(this->Socket, asio::buffer(this->Responses[Index]));
+          if (Index + 1 == this->Responses.size())
+            return this->Socket.close();
+          this->respond(Index + 1);
+        });
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  asio::ip::tcp::socket Socket;
+  std::vector<std::string> Responses;
+  std::array<char, 4096> Request{};
+  int Connections = 0;
+};
+
 HttpFetchResult fetchRawResponse(const std::string &Bytes, bool Reset) {
   asio::io_context Context;
   RawEndpoint Endpoint(Context, Bytes, Reset);
   HttpClient Client(Context.get_executor(), {.SingleThread = true});
   HttpCallOptions Options;
   Options.CompleteOnClose = true;
-  Options.MatchesCall = [](const HttpResponseHead &Head) {
-    return Head.Headers.value("Id") == "mine";
+  Options.FindOwner = [](const HttpResponseHead &Head,
+                         const ResponseContext &ContextOfResponse) {
+    return findResponseOwner(Head.Headers.value("Id"), "mine",
+                             ContextOfResponse);
   };
   auto Future = asio::co_spawn(Context,
                                Client.fetch(Endpoint.address(),
@@ -332,6 +371,62 @@
   EXPECT_EQ(Response.Body, "right");
 }
 
+TEST(HttpClient, ResponseWithoutAnIdOnAFreshConnectionIsToItsOnlyCall) {
+  HttpFetchResult Response = fetchRawResponse(
+      "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno", false);
+  EXPECT_EQ(Response.Outcome, HttpCallOutcome::Complete);
+}
+
+// Guards against an earlier refusal that an endpoint writes once more where the
+// answer to the next call on a kept connection is due: it would be read as the
+// refusal of a call that the endpoint runs.
+TEST(HttpClient, EarlierResponseWrittenAgainIsNoResponseToTheNextCall) {
+  for (std::string_view Id : {"Id: mine\r\n", ""}) {
+    asio::io_context Context;
+    std::string Refusal =
+        "HTTP/1.1 503 Busy\r\n" + std::string(Id) + "Content-Length: 0\r\n\r\n";
+    KeptEndpoint Endpoint(Context, {Refusal, Refusal});
+    HttpClient Client(Context.get_executor(), {.SingleThread = true});
+    auto Call = [&](std::string_view CallId) {
+      HttpCallOptions Options;
+      Options.FindOwner = [CallId](const HttpResponseHead &Head,
+                                   const ResponseContext &ContextOfResponse) {
+        return findResponseOwner(Head.Headers.value("Id"), CallId,
+                                 ContextOfResponse);
+      };
+      auto Future = asio::co_spawn(
+          Context,
+          Client.fetch(Endpoint.address(), {.Method = "GET"}, Options, 4096),
+          asio::use_future);
+      Context.restart();
+      while (Future.wait_for(std::chrono::seconds(0)) !=
+             std::future_status::ready)
+        Context.run_one();
+      return Future.get();
+    };
+    HttpFetchResult First = Call("mine");
+    // The first one without an id is the only call of its connection.
+    ASSERT_EQ(First.Outcome, HttpCallOutcome::Complete);
+    EXPECT_EQ(Call("next").Outcome, HttpCallOutcome::Incomplete) << Id;
+    EXPECT_EQ(Endpoint.connections(), 1);
+  }
+}
+
+TEST(ResponseOwner, FollowsFromTheIdOrTheConnection) {
+  auto Find = [](std::string_view Id, bool IsReused, bool IsEarly) {
+    return findResponseOwner(
+        Id, "mine", {.IsReusedConnection = IsReused, .IsEarly = IsEarly});
+  };
+  for (bool IsReused : {false, true})
+    for (bool IsEarly : {false, true}) {
+      EXPECT_EQ(Find("mine", IsReused, IsEarly), ResponseOwner::ThisCall);
+      EXPECT_EQ(Find("other", IsReused, IsEarly), ResponseOwner::AnotherCall);
+      EXPECT_EQ(Find("", IsReused, IsEarly), IsReused || IsEarly
+                                                 ? ResponseOwner::Unknown
+                                                 : ResponseOwner::ThisCall);
+    }
+}
+
 TEST(HttpClient, ResponseWithoutLengthIsCompleteOnlyAfterOrderlyClose) {
   std::string Bytes = "HTTP/1.1 200 OK\r\nId: mine\r\n\r\nall of it";
   HttpFetchResult Closed = fetchRawResponse(Bytes, false);
