LibServe: Do not end a stream that broke off as complete

Reported by other operators, and here on the product's own path: a stream had begun and broke off, the next engine answered with an error, and the caller's stream ended with its last chunk as if it were complete.

Cause: IdempotentCall took a complete answer for the end of the request, whatever it was an answer to; the error's bytes were buffered and dropped, and the stream was finished. The platform's path decided it right, but at two places, each on its own.

Change: StreamAnswer decides for both paths and for answers of other entry hosts what an answer is used for and whether the caller's may end as complete. An event stream without its endpoint's signature isn't passed on either.

Kept: on the own interface a stream that can't be resumed ends with an event 'error' between whole events and without its last chunk, as docs/API.md documents.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -347,7 +347,7 @@
 void CallerSession::resetAnswer() {
   this->HasAnswerHead = false;
   this->AnswerMetadata = {};
-  this->IsStreaming = false;
+  this->Use = AnswerUse::Whole;
   this->IsAbandoned = false;
   this->HasContent = false;
   this->IsPaused = false;
@@ -439,18 +439,16 @@
   if (IsRefused && this->MayHaveRun)
     co_return NextStep::GiveUp;
   this->MayHaveRun = this->MayHaveRun || !IsRefused;
-  if (!IsComplete || (this->IsStreaming && this->Relay.hasPartialEvent()))
+  if (!this->completesAnswer(IsComplete))
     co_return NextStep::GiveUp;
   // The peer logs why.
   std::string Reason =
       Status < 400 ? "" : "the peer answered " + std::to_string(Status);
   this->recordOutcome("forwarded", Reason);
-  if (this->IsStreaming) {
+  if (isStream(this->Use)) {
     co_await this->Exchange.finishStream();
     co_return NextStep::Finished;
   }
-  if (this->StreamStarted)
-    co_return NextStep::GiveUp;
   HttpResponseHead Head =
       this->Context.Protocol.makeCallerHead(this->AnswerHttpHead);
   HttpResponse CallerResponse{.Status = Head.Status,
@@ -540,7 +538,7 @@
                           : IsComplete    ? DispatchResult::Answered
                           : CancelledHere ? DispatchResult::Cancelled
                                           : DispatchResult::Lost;
-  if (IsComplete && this->IsStreaming && this->Relay.hasGap())
+  if (IsComplete && isStream(this->Use) && this->Relay.hasGap())
     Result = DispatchResult::Lost;
   bool HasLength = this->AnswerHttpHead.Headers.count("Content-Length") +
                        this->AnswerHttpHead.Headers.count("Transfer-Encoding") >
@@ -564,15 +562,11 @@
     this->logAttempt(Result);
   if (Result == DispatchResult::Cancelled)
     co_return NextStep::GiveUp;
-  if (this->IsStreaming) {
-    if (Result == DispatchResult::Answered && !this->Relay.hasPartialEvent())
-      co_return co_await this->finishStream();
-    co_return this->MatchedRoute->isSafeToRetry() ? NextStep::Retry
-                                                  : NextStep::GiveUp;
-  }
-  if (!IsComplete || this->StreamStarted)
+  if (!this->completesAnswer(IsComplete))
     co_return this->MatchedRoute->isSafeToRetry() ? NextStep::Retry
                                                   : NextStep::GiveUp;
+  if (isStream(this->Use))
+    co_return co_await this->finishStream();
   // A success without the endpoint's signature, or an encoded body, was not
   // written by the endpoint itself.
   if (this->AnswerMetadata.Encoded ||
@@ -608,7 +602,8 @@
   bool IsSuccess = this->AnswerHttpHead.Status < 300;
   // A stream that was resumed after its last event is no evidence: its engine
   // wrote nothing.
-  if (this->IsStreaming && (!this->HasContent || this->Relay.hasPartialEvent()))
+  if (isStream(this->Use) &&
+      (!this->HasContent || this->Relay.hasPartialEvent()))
     return;
   if (IsSuccess && this->HasContent)
     Guard.recordAnswer(monotonicNow(), this->Suspects);
@@ -616,6 +611,13 @@
     Guard.recordAnswer(monotonicNow(), {this->Suspects.back()});
 }
 
+bool CallerSession::completesAnswer(bool IsComplete) const {
+  return mayEndAsComplete(this->Use,
+                          {.IsComplete = IsComplete,
+                           .HasPartialEvent = this->Relay.hasPartialEvent(),
+                           .HasGap = this->Relay.hasGap()});
+}
+
 asio::awaitable<CallerSession::NextStep> CallerSession::finishStream() {
   this->recordOutcome("answered", "");
   co_await this->Exchange.finishStream();
@@ -726,10 +728,13 @@
         this->AnswerMetadata.RequestLimit);
     this->recordHoldOff(Head.Status);
   }
-  this->IsStreaming = this->AnswerMetadata.IsEventStream && Head.Status < 300 &&
-                      this->MatchedRoute->Retries == RetryRule::Stream &&
-                      !this->AnswerMetadata.Encoded;
-  if (!this->IsStreaming || this->StreamStarted)
+  bool IsEventStream = this->AnswerMetadata.IsEventStream &&
+                       Head.Status < 300 && this->AnswerMetadata.Signed &&
+                       this->MatchedRoute->Retries == RetryRule::Stream &&
+                       !this->AnswerMetadata.Encoded;
+  this->Use = chooseAnswerUse(
+      {.IsEventStream = IsEventStream, .HasStreamBegun = this->StreamStarted});
+  if (this->Use != AnswerUse::StartsStream)
     co_return;
   this->StreamStarted = true;
   HttpResponseHead CallerHead = this->Context.Protocol.makeCallerHead(Head);
@@ -762,7 +767,7 @@
 }
 
 asio::awaitable<void> CallerSession::chunk(std::string Data) {
-  if (!this->IsStreaming) {
+  if (!isStream(this->Use)) {
     this->HasContent = true;
     if (this->AnswerBody.size() + Data.size() > MaxBufferedBytes)
       this->rejectAnswer();
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -16,6 +16,7 @@
 #include <LibEntry/EventRelay.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibHTTP/HttpServer.h>
+#include <LibRouting/StreamAnswer.h>
 #include <LibTelemetry/Metrics.h>
 #include <functional>
 #include <map>
@@ -58,6 +59,8 @@
   boost::asio::awaitable<NextStep> runAttempt(const DispatchTarget &Target);
   boost::asio::awaitable<NextStep> finishAttempt(HttpCallOutcome End);
   boost::asio::awaitable<NextStep> finishStream();
+  /// Whether the caller's answer may end as complete with this one.
+  [[nodiscard]] bool completesAnswer(bool IsComplete) const;
   /// Whether this host reaches engines of the target service.
   [[nodiscard]] EngineContact &contact();
   /// Returns whether this host should not send the request to an engine,
@@ -137,7 +140,7 @@
   HttpResponseHead AnswerHttpHead;
   std::string AnswerBody;
   bool HasAnswerHead = false;
-  bool IsStreaming = false;
+  AnswerUse Use = AnswerUse::Whole;
   bool IsAbandoned = false;
   /// An event or a part of the body arrived.
   bool HasContent = false;
--- a/Libraries/LibServe/IdempotentCall.cpp
+++ b/Libraries/LibServe/IdempotentCall.cpp
@@ -8,6 +8,7 @@
 #include <LibServe/IdempotentCall.h>
 
 #include <LibHTTP/DecimalField.h>
+#include <LibRouting/StreamAnswer.h>
 #include <LibServe/Forwarding.h>
 #include <LibTelemetry/Log.h>
 #include <boost/asio/as_tuple.hpp>
@@ -54,6 +55,11 @@
     if (this->Busy)
       co_return;
     IdempotentCall &Call = this->Owner;
+    this->Use = chooseAnswerUse(
+        {.IsEventStream = Call.Call.Streamed && Head.Status == 200,
+         .HasStreamBegun = Call.StreamStarted});
+    if (this->Use == AnswerUse::None)
+      co_return;
     // Another attempt answered first.
     if (Call.AnsweringAttempt != 0 &&
         Call.AnsweringAttempt != this->DispatchEffect.Attempt)
@@ -62,8 +68,7 @@
     Call.AnsweringAttempt = this->DispatchEffect.Attempt;
     Call.Routing.reportFirstByte(this->DispatchEffect.Attempt);
     this->observeFirstByte(FirstEver);
-    this->IsStream = Call.Call.Streamed && Head.Status == 200;
-    if (!this->IsStream) {
+    if (!isStream(this->Use)) {
       Call.BufferedAnswer = HttpResponse{.Status = Head.Status};
       Call.BufferedAnswer.ContentType = Head.Headers.value("Content-Type");
       co_return;
@@ -78,9 +83,9 @@
   asio::awaitable<void> chunk(std::string Data) override {
     IdempotentCall &Call = this->Owner;
     this->recordBytes();
-    if (this->Busy)
+    if (this->Busy || this->Use == AnswerUse::None)
       co_return;
-    if (!this->IsStream) {
+    if (!isStream(this->Use)) {
       if (Call.BufferedAnswer.Body.size() + Data.size() >
           MaxBufferedAnswerBytes)
         throw AttemptAbandoned();
@@ -99,6 +104,12 @@
     co_await Call.Exchange.writeChunk(std::move(Events));
   }
 
+  /// Returns whether the caller's answer is complete with this one.
+  [[nodiscard]] bool completesAnswer(HttpCallOutcome End) const {
+    return mayEndAsComplete(
+        this->Use, {.IsComplete = End == HttpCallOutcome::Complete,
+                    .HasPartialEvent = this->Owner.Events.hasPartial()});
+  }
   [[nodiscard]] bool busy() const { return this->Busy; }
   /// The pause that the target asked for; zero if none.
   [[nodiscard]] Duration pause() const { return this->Pause; }
@@ -151,7 +162,7 @@
   bool HasLength = false;
   bool IsSuccess = false;
   bool IsFailure = false;
-  bool IsStream = false;
+  AnswerUse Use = AnswerUse::Whole;
 };
 
 IdempotentCall::IdempotentCall(ServerComponents &Components,
@@ -306,10 +317,10 @@
   AttemptOutcome Outcome;
   if (End == HttpCallOutcome::Complete && Sink.busy())
     Outcome = {AttemptResult::Overloaded, Sink.pause()};
-  else if (End == HttpCallOutcome::Complete && this->Events.hasPartial())
-    Outcome.Result = AttemptResult::FailedAfterSend;
-  else if (End == HttpCallOutcome::Complete)
+  else if (Sink.completesAnswer(End))
     Outcome.Result = AttemptResult::Complete;
+  else if (End == HttpCallOutcome::Complete)
+    Outcome.Result = AttemptResult::FailedAfterSend;
   else if (Current.Cancelled)
     Outcome.Result = AttemptResult::Cancelled;
   else
--- a/Libraries/LibStandIn/EngineStandIn.cpp
+++ b/Libraries/LibStandIn/EngineStandIn.cpp
@@ -27,6 +27,8 @@
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 static constexpr std::uint32_t DefaultMaxTokens = 16;
+/// Tokens of a stream that breaks off.
+static constexpr std::uint32_t TokensBeforeBreak = 3;
 static constexpr std::uint32_t MaxTokens = 4096;
 static constexpr std::size_t MaxCachedPrefixes = 64;
 /// Exit code of an engine that a prompt has crashed.
@@ -318,6 +320,15 @@
 EngineStandIn::Implementation::generate(HttpExchange &Exchange,
                                         const CompletionRequest &Parameters) {
   asio::steady_timer Timer(this->Executor);
+  bool BreaksOff =
+      !this->Options.BreakOffText.empty() &&
+      std::ranges::any_of(Parameters.Messages, [this](const auto &Message) {
+        return Message.starts_with(this->Options.BreakOffText);
+      });
+  if (BreaksOff && Parameters.ResumeFrom > 0) {
+    HttpResponse Failure = errorResponse(500, "the engine has failed");
+    co_return co_await Exchange.respond(std::move(Failure));
+  }
   Timer.expires_after(this->prefillTime(Parameters.Prompt));
   co_await Timer.async_wait(UseTuple);
   if (Parameters.Stream) {
@@ -333,7 +344,7 @@
   for (std::uint32_t I = Parameters.ResumeFrom; I < Parameters.Tokens; ++I) {
     Timer.expires_after(this->Options.TimePerToken);
     co_await Timer.async_wait(UseTuple);
-    if (Exchange.callerDisconnected())
+    if (Exchange.callerDisconnected() || (BreaksOff && I == TokensBeforeBreak))
       throw boost::system::system_error(asio::error::connection_aborted);
     std::string Token = standInToken(Parameters.Prompt, I);
     Text += Token;
--- a/Libraries/LibStandIn/EngineStandIn.h
+++ b/Libraries/LibStandIn/EngineStandIn.h
@@ -42,6 +42,9 @@
   /// The process ends when it begins to write an answer to a prompt with this
   /// text as a message other than the last one; empty: never.
   std::string CrashText = {};
+  /// A stream with a message that begins so breaks off after its first tokens;
+  /// where it is to be resumed, it is answered with an error.
+  std::string BreakOffText = {};
   /// The limit that the engine announces; 0: none. It does not enforce it.
   double RequestLimit = 0;
   Duration AnnounceInterval = std::chrono::milliseconds(500);
--- a/Tests/Carobhinge/TestProcesses.cpp
+++ b/Tests/Carobhinge/TestProcesses.cpp
@@ -206,12 +206,14 @@
     ChildProcess::killAllWhenInterrupted();
   }
 
-  HttpFetchResult call(const HostAddresses &Host, const char *Shared) {
+  HttpFetchResult call(const HostAddresses &Host, const char *Shared,
+                       bool IsStream = false) {
     std::string Own = "question " + std::to_string(++this->LastNumber);
     std::string Body = R"({"model":")" + this->Cluster.plan().Model +
                        R"(","messages":[{"role":"system","content":"brief"},)" +
                        R"({"role":"user","content":")" + Shared +
-                       R"("},{"role":"user","content":")" + Own + R"("}]})";
+                       R"("},{"role":"user","content":")" + Own + R"("}])" +
+                       (IsStream ? R"(,"stream":true})" : "}");
     HttpRequest Request{.Method = "POST",
                         .Target = "/v1/chat/completions",
                         .Headers = {{"Content-Type", "application/json"}},
@@ -306,6 +308,11 @@
   std::atomic<unsigned> Other = 0;
 };
 
+class StreamsThatBreakOff : public ModelCalls {
+protected:
+  StreamsThatBreakOff() : ModelCalls({3, 3, 3}) {}
+};
+
 /// Each failure domain has a single group, and all three have the same name.
 class PromptCrashesOfNamesakes : public PromptCrashes {
 protected:
@@ -355,6 +362,24 @@
     EXPECT_TRUE(this->isRefused(Host)) << Host.Host;
 }
 
+// Guards against a stream that broke off and is ended as if it were complete,
+// or with the error of the engine that should have continued it.
+TEST_F(StreamsThatBreakOff, DoNotEndAsComplete) {
+  this->Cluster.start();
+  for (const HostAddresses &Host : this->Cluster.hosts()) {
+    this->Cluster.waitFor("calls are answered at " + Host.Host, [&] {
+      return this->call(Host, "sound").Head.Status == 200;
+    });
+    // A message of its own, so that no message is suspected to crash engines.
+    std::string Message = std::string(BreakOffText) + " at " + Host.Host;
+    HttpFetchResult Answer = this->call(Host, Message.c_str(), true);
+    EXPECT_EQ(Answer.Head.Status, 200U);
+    EXPECT_EQ(Answer.Outcome, HttpCallOutcome::Incomplete) << Answer.Body;
+    EXPECT_EQ(Answer.Body.find("the engine has failed"), std::string::npos);
+    EXPECT_EQ(Answer.Body.find("[DONE]"), std::string::npos);
+  }
+}
+
 // Guards against an engine in need that gets far more requests, from all entry
 // hosts together, than the limit that it announces.
 TEST_F(LimitedEngines, GetNoMoreThanTheLimitThatTheyAnnounce) {
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -36,6 +36,7 @@
 };
 
 /// Engines crash on a prompt with this message before its last.
+inline constexpr const char *BreakOffText = "the message that ends streams";
 inline constexpr const char *CrashText = "the message that crashes engines";
 
 DeploymentPlan trustPlan();
