LibEntry: Learn through other hosts which endpoints leave

A host that has lost its links passes on answers that another host gets for it, those of endpoints that leave among them. After the cut it would send such an endpoint requests itself, although it has passed on that it leaves.

Change: the host that gets the answer names the endpoint to the one that handed the request on; the name never reaches callers, and an endpoint's own field of that name is dropped.

Evidence: CallProtocol.TellsTheOtherEntryHostWhichEndpointLeaves, Dispatcher.LeavingEndpointGetsNothingUntilItStartsAgain.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -449,8 +449,7 @@
     co_await this->Exchange.finishStream();
     co_return NextStep::Finished;
   }
-  HttpResponseHead Head =
-      this->Context.Protocol.makeCallerHead(this->AnswerHttpHead);
+  HttpResponseHead Head = this->headForCaller();
   HttpResponse CallerResponse{.Status = Head.Status,
                               .ContentType = "",
                               .Headers = std::move(Head.Headers),
@@ -584,8 +583,7 @@
   // not read that from the status.
   if (promisesNotRun(this->AnswerHttpHead.Status))
     co_return NextStep::GiveUp;
-  HttpResponseHead Head =
-      this->Context.Protocol.makeCallerHead(this->AnswerHttpHead);
+  HttpResponseHead Head = this->headForCaller();
   this->recordOutcome(Failed ? "endpoint-failed" : "answered", "");
   HttpResponse CallerResponse{.Status = Head.Status,
                               .ContentType = "",
@@ -737,7 +735,7 @@
   if (this->Use != AnswerUse::StartsStream)
     co_return;
   this->StreamStarted = true;
-  HttpResponseHead CallerHead = this->Context.Protocol.makeCallerHead(Head);
+  HttpResponseHead CallerHead = this->headForCaller();
   co_await this->Exchange.startStream(std::move(CallerHead));
 }
 
@@ -753,11 +751,27 @@
   if (Status == 429 && Pause > Duration::zero())
     RequestDispatcher.recordRateLimited(monotonicNow(), this->CurrentAttempt,
                                         Pause);
-  if (this->AnswerMetadata.Leaving &&
-      RequestDispatcher.recordLeaving(monotonicNow(), this->CurrentAttempt))
-    logEvent(Severity::Info, "endpoint-leaving",
-             {{"request", this->CallerRequest.AttemptId},
-              {"endpoint", this->LastEndpoint}});
+  bool IsHandedBack = this->CurrentAttempt == 0;
+  EndpointName Leaving = this->LastEndpoint;
+  if (IsHandedBack)
+    Leaving = this->AnswerMetadata.LeavingEndpoint;
+  bool IsNew =
+      this->AnswerMetadata.Leaving &&
+      (IsHandedBack ? RequestDispatcher.recordLeaving(monotonicNow(), Leaving)
+                    : RequestDispatcher.recordLeaving(monotonicNow(),
+                                                      this->CurrentAttempt));
+  if (IsNew)
+    logEvent(
+        Severity::Info, "endpoint-leaving",
+        {{"request", this->CallerRequest.AttemptId}, {"endpoint", Leaving}});
+}
+
+HttpResponseHead CallerSession::headForCaller() const {
+  if (!this->IsForwarded)
+    return this->Context.Protocol.makeCallerHead(this->AnswerHttpHead);
+  return this->Context.Protocol.makePeerHead(
+      this->AnswerHttpHead,
+      this->AnswerMetadata.Leaving ? this->LastEndpoint : EndpointName());
 }
 
 void CallerSession::rejectAnswer() {
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -94,6 +94,9 @@
   /// Takes note of a pause that the answer asks for, and of an endpoint that
   /// leaves.
   void recordHoldOff(unsigned Status);
+  /// The head of the newest answer as the caller, or the host that handed the
+  /// request on, gets it.
+  [[nodiscard]] HttpResponseHead headForCaller() const;
   void recordAcquittal();
   /// Ends the newest attempt at the dispatcher and the crash detector.
   void endAttempt(DispatchResult Result, ConnectionEnd End);
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -232,6 +232,14 @@
   return this->HoldOffs.recordLeaving(Now, Found->second.Endpoint);
 }
 
+bool Dispatcher::recordLeaving(TimePoint Now, const EndpointName &Endpoint) {
+  auto Found = std::ranges::find_if(this->Targets, [&](const auto &Each) {
+    return Each.second.Target.Endpoint == Endpoint;
+  });
+  return Found != this->Targets.end() &&
+         this->HoldOffs.recordLeaving(Now, endpointOf(Found->second));
+}
+
 bool Dispatcher::mayWrite(TimePoint Now, AttemptNumber Number) const {
   auto Found = this->Attempts.find(Number);
   return Found == this->Attempts.end() ||
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -191,6 +191,8 @@
   void recordRateLimited(TimePoint Now, AttemptNumber Attempt, Duration Length);
   /// An answer said that its endpoint leaves. \returns whether that is new.
   bool recordLeaving(TimePoint Now, AttemptNumber Attempt);
+  /// The same for an answer that another entry host handed back.
+  bool recordLeaving(TimePoint Now, const EndpointName &Endpoint);
   /// \returns whether the request may still be written: its endpoint has not
   /// asked for a pause since it was chosen.
   [[nodiscard]] bool mayWrite(TimePoint Now, AttemptNumber Attempt) const;
--- a/Libraries/LibEntry/EndpointProtocol.h
+++ b/Libraries/LibEntry/EndpointProtocol.h
@@ -74,6 +74,8 @@
   std::optional<Duration> RetryAfter = {};
   /// The endpoint is leaving and takes nothing new.
   bool Leaving = false;
+  /// The endpoint that is leaving, if another entry host hands the answer back.
+  EndpointName LeavingEndpoint = {};
   /// The body has a content encoding, so it isn't the endpoint's own bytes.
   bool Encoded = false;
 };
@@ -102,6 +104,11 @@
   /// The endpoint's head without the fields that concern only one connection.
   [[nodiscard]] virtual HttpResponseHead
   makeCallerHead(const HttpResponseHead &Answer) const = 0;
+  /// The same for an entry host that handed the request on. \p LeavingEndpoint:
+  /// the endpoint that answered if it is leaving, otherwise empty.
+  [[nodiscard]] virtual HttpResponseHead
+  makePeerHead(const HttpResponseHead &Answer,
+               const EndpointName &LeavingEndpoint) const = 0;
   /// An answer with which this system itself refuses the attempt \p AttemptId.
   /// \p RetryAfter: when the caller should retry, if useful.
   [[nodiscard]] virtual HttpResponse
--- a/Tests/LibEntry/TestDispatcher.cpp
+++ b/Tests/LibEntry/TestDispatcher.cpp
@@ -145,6 +145,10 @@
   Target.EndpointLife = 2;
   Selector.update({&Target, 1});
   EXPECT_TRUE(Selector.chooseTarget(Start + seconds(60), LargeRequest).Target);
+  // The answer came through another entry host.
+  EXPECT_FALSE(Selector.recordLeaving(Start, EndpointName("e9")));
+  EXPECT_TRUE(Selector.recordLeaving(Start, EndpointName("e0")));
+  EXPECT_FALSE(Selector.chooseTarget(Start + seconds(60), LargeRequest).Target);
 }
 
 TEST(Dispatcher, DrainedFailureDomainGetsNoRequests) {
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -215,6 +215,23 @@
             0U);
 }
 
+// Guards against requests to an endpoint that leaves, from a host that has
+// passed its answer on for another host.
+TEST(CallProtocol, TellsTheOtherEntryHostWhichEndpointLeaves) {
+  CallProtocol Protocol;
+  HttpResponseHead Answer{.Status = 200};
+  Answer.Headers.add(LeavingField, "1");
+  Answer.Headers.add(LeavingEndpointField, "forged");
+  EXPECT_EQ(Protocol.makeCallerHead(Answer).Headers.count(LeavingEndpointField),
+            0U);
+  HttpResponseHead HandedBack = Protocol.makePeerHead(Answer, "i-7");
+  EXPECT_TRUE(Protocol.readAnswer(HandedBack).Leaving);
+  EXPECT_EQ(Protocol.readAnswer(HandedBack).LeavingEndpoint, "i-7");
+  EXPECT_EQ(
+      Protocol.makePeerHead(Answer, "").Headers.count(LeavingEndpointField),
+      0U);
+}
+
 // What an endpoint may write into these fields, and what is read from it.
 TEST(CallProtocol, ReadsPausesAndLeaving) {
   auto Read = [](std::string_view RetryAfter, std::string_view Leaving) {
