--- a/Libraries/LibRouting/Router.h
+++ b/Libraries/LibRouting/Router.h
@@ -127,8 +127,8 @@
   void recordOutcome(TimePoint Now, const RunningAttempt &Attempt,
                      AttemptOutcome Outcome);
   void recordPause(TimePoint Now, TargetIndex Index, Duration Length);
-  /// The target answered and did not turn the request away. Returns whether that
-  /// ended a pause; queued requests may then be dispatched.
+  /// The target answered and did not turn the request away. Returns whether
+  /// that ended a pause; queued requests may then be dispatched.
   bool recordServed(const RunningAttempt &Attempt);
   /// Keeps targets that are new in the list to a pause that they have asked
   /// for.
