--- a/Tests/LibEntry/TestRequestedPause.cpp
+++ b/Tests/LibEntry/TestRequestedPause.cpp
@@ -54,7 +54,7 @@
       }
     }
     this->Running.resize(Endpoints);
-    this->Pauses.resize(static_cast<std::size_t>(Scenario.Hosts * Endpoints));
+    this->Pauses.resize(static_cast<std::size_t>(Scenario.Hosts) * Endpoints);
   }
 
   void run(Duration Length) {
