Tests: Count what a leaving endpoint gets from its answer on

Cause (argued from the code, not traced in a run): the simulated endpoint began to count when the first request of a host arrived. A stream gets its head with its first token, and a request that was abandoned before gets none; the host has then passed on no answer that says so, and the next request was counted.

Change: it counts from when an answer that bears the field has been written. The bound, two seconds and no request, is the same; so is the rule that it checks: a request later than that after a host has passed on such an answer.

--- a/Tests/PlatformWorld/PlatformEndpoint.cpp
+++ b/Tests/PlatformWorld/PlatformEndpoint.cpp
@@ -284,7 +284,22 @@
     Response.Headers.add(
         platform::RetryAfterField,
         std::to_string(std::chrono::duration<double>(Pause).count()));
+  HttpHeaders Fields = Response.Headers;
   co_await Exchange.respond(std::move(Response));
+  // A request that reached an endpoint by mistake says nothing about it.
+  if (Status != 421)
+    this->recordSaidLeaving(Exchange, Fields);
+}
+
+void PlatformEndpoint::recordSaidLeaving(const HttpExchange &Exchange,
+                                         const HttpHeaders &Answer) {
+  if (!this->LeavesInAnswers || Answer.count(platform::LeavingField) == 0)
+    return;
+  std::lock_guard Guard(this->Endpoints.ArrivalLock);
+  this->Endpoints.Leavings.try_emplace(
+      {this->Id, Exchange.callerIp()},
+      EndpointSimulator::LeavingRecord{.SaidAt = monotonicNow(),
+                                       .Arrivals = {}});
 }
 
 Duration PlatformEndpoint::recordArrivalFrom(const HttpExchange &Exchange) {
@@ -296,11 +311,9 @@
                         ? Duration::zero()
                         : this->Endpoints.RequestedPause.load();
   std::lock_guard Guard(this->Endpoints.ArrivalLock);
-  if (this->LeavesInAnswers)
-    this->Endpoints.Leavings
-        .try_emplace(Pair, EndpointSimulator::LeavingRecord{.SaidAt = Now,
-                                                            .Arrivals = {}})
-        .first->second.Arrivals.push_back(Now);
+  if (auto Leaving = this->Endpoints.Leavings.find(Pair);
+      Leaving != this->Endpoints.Leavings.end())
+    Leaving->second.Arrivals.push_back(Now);
   EndpointSimulator::PauseRecord &Record = this->Endpoints.Pauses[Pair];
   if (Now < Record.Until) {
     if (Now >= Record.From)
@@ -425,7 +438,8 @@
       ResumedEvents * StandInTokensPerEvent >= AnswerTokens) {
     // The caller has all events; only the end of the stream was lost.
     HttpResponseHead Head = this->streamHead(Exchange.request());
-    co_await Exchange.startStream(std::move(Head));
+    co_await Exchange.startStream(Head);
+    this->recordSaidLeaving(Exchange, Head.Headers);
     co_return co_await Exchange.finishStream();
   }
   Generation Current(this->Endpoints.Context.get_executor());
@@ -484,6 +498,7 @@
         // A request counts as executed from its first token on.
         this->Endpoints.Executions.recordExecution(AttemptId);
         co_await Exchange.startStream(Head);
+        this->recordSaidLeaving(Exchange, Head.Headers);
       }
       HeadSent = true;
       std::string Event =
@@ -549,7 +564,9 @@
   HttpResponse Response{.Headers = this->answerFields(Exchange.request()),
                         .Body = expectedBody(AttemptId)};
   Response.Headers.add(platform::SignatureField, "stamp-" + digest(AttemptId));
+  HttpHeaders Fields = Response.Headers;
   co_await Exchange.respond(std::move(Response));
+  this->recordSaidLeaving(Exchange, Fields);
 }
 
 } // namespace carobhinge
--- a/Tests/PlatformWorld/PlatformEndpoint.h
+++ b/Tests/PlatformWorld/PlatformEndpoint.h
@@ -73,6 +73,10 @@
   /// Returns the pause to ask the sender of \p Exchange for; zero if it is
   /// served.
   [[nodiscard]] Duration recordArrivalFrom(const HttpExchange &Exchange);
+  /// The sender of \p Exchange has got an answer with the fields \p Answer,
+  /// which may say that this endpoint leaves.
+  void recordSaidLeaving(const HttpExchange &Exchange,
+                         const HttpHeaders &Answer);
   /// The fields of each answer to \p Request.
   [[nodiscard]] HttpHeaders answerFields(const HttpRequest &Request) const;
   /// Answers that the request did not run, and asks for \p Pause unless that
