--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -206,6 +206,13 @@
         for writer in list(self.connections):
             writer.close()
 
+    async def restart(self):
+        """A new life under the same id, at the same address."""
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.reporting = True
+        await self.start()
+
     def report(self):
         self.sequence += 1
         return {"service": SERVICE, "addr": "%s:%d" % (self.ip, self.port),
@@ -306,6 +313,7 @@
         self.seeds = []
         self.sent = {}
         self.number = 0
+        self.timeout_ms = 800
 
     @staticmethod
     def free_network():
@@ -338,7 +346,8 @@
     def config(self, version):
         def route(name, prefix, kind, attempts):
             return {"name": name, "host": HOST, "path_prefix": prefix,
-                    "route_kind": kind, "timeout_ms": 800, "goal_ms": 300,
+                    "route_kind": kind, "timeout_ms": self.timeout_ms,
+                    "goal_ms": 300,
                     "priority": 2, "service": SERVICE,
                     "max_attempts": attempts, "public": False, "sticky": False,
                     "resumable": False}
@@ -432,7 +441,7 @@
             if "x-carobhinge-server-stamp" in headers else ""))
         return status
 
-    async def start(self, servers=3, entries=3):
+    async def start(self, servers=3, entries=3, zones=ZONES):
         if not os.path.exists(os.path.join(ROOT, PROGRAM)):
             raise CannotRun("the build of the deploy file is missing")
         for number in (1, 2, 3):
@@ -447,7 +456,7 @@
         for i in range(servers):
             server = Server(self, "i-%08x" % random.getrandbits(32),
                             "%s.%d" % (self.network, 101 + i), 8080,
-                            ZONES[i % 3])
+                            zones[i % len(zones)])
             self.servers.append(server)
             await server.start()
         if not await self.put_config(1):
