--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -423,7 +423,7 @@
         return status == 200
 
     async def request(self, entry, method="GET", prefix="/lohu930/",
-                      deadline_ms=1500):
+                      deadline_ms=1500, headers=None):
         """One attempt of a client. Returns its status, 0 if none came."""
         self.number += 1
         attempt = "%016x" % random.getrandbits(64)
@@ -431,14 +431,15 @@
         self.sent[attempt] = (self.record.now(), entry.name)
         self.record.write("client: %s %s %s to %s" % (attempt, method, path,
                                                       entry.name))
-        status, headers, _ = await call(
-            (entry.ip, FRONT), method, path,
-            {"Host": HOST, "X-Carobhinge-Attempt-Id": attempt,
-             "X-Carobhinge-Deadline-Ms": str(deadline_ms),
-             "X-Carobhinge-Key": KEY}, timeout=deadline_ms / 1000)
+        fields = {"Host": HOST, "X-Carobhinge-Attempt-Id": attempt,
+                  "X-Carobhinge-Deadline-Ms": str(deadline_ms),
+                  "X-Carobhinge-Key": KEY}
+        fields.update(headers or {})
+        status, answer, _ = await call((entry.ip, FRONT), method, path, fields,
+                                       timeout=deadline_ms / 1000)
         self.record.write("client: %s gets %d%s" % (
-            attempt, status, " of " + headers["x-carobhinge-server-stamp"]
-            if "x-carobhinge-server-stamp" in headers else ""))
+            attempt, status, " of " + answer["x-carobhinge-server-stamp"]
+            if "x-carobhinge-server-stamp" in answer else ""))
         return status
 
     async def start(self, servers=3, entries=3, zones=ZONES):
