LibControl: Hand over the vote of a control host before it stops

No configuration is read or accepted again, and requests with a key are refused for good.

Cause: the stopped host kept its vote for 2.5 s after its end, so that of three voters one never returned and the next lost disk left no majority. Of the same class: a voter was removed before its successor was added, and a request for other voters that the log had ignored was repeated only after 5 s.

Change: a stopping control host announces it and waits until the leader has committed voters without it, for half of the grace time at most and not without a host that could take over. A voter is removed only once its successor votes. The leader's log lines voters-in-force and vote-handover tell the rest.

--- a/Libraries/LibConsensus/LogDriver.cpp
+++ b/Libraries/LibConsensus/LogDriver.cpp
@@ -235,12 +235,15 @@
                       .Leader = this->Failed ? HostName() : Node.leader(),
                       .Commit = Node.commitIndex(),
                       .Applied = this->Runner.appliedIndex(),
+                      .VotersCommitted = Node.isConfigurationCommitted(),
                       .Learners = Node.learners(),
                       .RepairComplete =
                           !this->Failed && Node.repairComplete(Now),
                       .LastError = this->Error};
   for (const message::Member &Voter : Node.log().configuration().voters())
     NewStatus.Voters.push_back(Voter.host());
+  const auto &Hosts = Node.log().configuration().hosts();
+  NewStatus.RequestedHosts.assign(Hosts.begin(), Hosts.end());
   std::lock_guard Guard(this->Lock);
   this->PublishedStatus = std::move(NewStatus);
 }
--- a/Libraries/LibConsensus/LogDriver.h
+++ b/Libraries/LibConsensus/LogDriver.h
@@ -81,6 +81,10 @@
   std::uint64_t Commit = 0;
   std::uint64_t Applied = 0;
   std::vector<HostName> Voters = {};
+  /// Hosts that should hold a voter each; differ from Voters during a change.
+  std::vector<HostName> RequestedHosts = {};
+  /// Voters and RequestedHosts are known to be committed.
+  bool VotersCommitted = false;
   /// Hosts that are catching up with the log; filled in on the leader only.
   std::vector<HostName> Learners = {};
   /// Every host that should hold a voter has one with all data; set on the
--- a/Libraries/LibConsensus/Replica.h
+++ b/Libraries/LibConsensus/Replica.h
@@ -23,7 +23,8 @@
 ///   only repeat the vote it had already cast.
 /// * A new identity on a host that should hold a voter becomes a learner. Once
 ///   it has caught up, the leader removes the old identity and adds the new
-///   one, in two changes of one voter each.
+///   one, in two changes of one voter each. A voter that another host replaces
+///   is removed only once its successor votes.
 ///
 /// Limitation: a rolled-back disk is not detected if every other host that
 /// recorded the newer state is unreachable or has restarted since.
@@ -127,6 +128,10 @@
   [[nodiscard]] bool holdsLease(TimePoint Now) const;
   [[nodiscard]] std::vector<HostName> learners() const;
   [[nodiscard]] bool repairComplete(TimePoint Now) const;
+  /// \returns whether the newest configuration is known to be committed.
+  [[nodiscard]] bool isConfigurationCommitted() const {
+    return this->CommitIndex >= this->Log.configurationIndex();
+  }
   [[nodiscard]] const ReplicaOptions &options() const { return this->Options; }
 
 private:
@@ -233,6 +238,12 @@
   void updateRole(TimePoint Now);
   void updatePeers();
   void advanceVoterChange(TimePoint Now);
+  [[nodiscard]] std::optional<message::Configuration>
+  replaceLostIdentity(TimePoint Now) const;
+  [[nodiscard]] std::optional<message::Configuration>
+  addCaughtUpVoter(TimePoint Now) const;
+  [[nodiscard]] std::optional<message::Configuration>
+  removeReplacedVoter(TimePoint Now);
   void proposeConfiguration(message::Configuration Configuration);
   [[nodiscard]] bool isActive(const Progress &PeerProgress,
                               TimePoint Now) const;
--- a/Libraries/LibConsensus/ReplicaMembers.cpp
+++ b/Libraries/LibConsensus/ReplicaMembers.cpp
@@ -342,37 +342,81 @@
 
 /// Makes the next change towards one voter on each requested host. Only one
 /// voter changes at a time, so that quorums of the old and the new
-/// configuration always overlap.
+/// configuration always overlap; replicas of earlier builds know no other kind
+/// of change.
 void Replica::advanceVoterChange(TimePoint Now) {
-  const message::Configuration &Current = this->Log.configuration();
   if (!this->holdsLease(Now) || !this->hasCommittedInCurrentTerm() ||
       this->CommitIndex < this->Log.configurationIndex())
     return;
-  message::Configuration Next = Current;
-  for (const message::Member &Voter : Current.voters()) {
-    if (hasHost(Current, Voter.host()))
-      continue;
-    if (Voter.host() == this->Options.Self) {
-      this->transferLeadership(Now);
+  std::optional<message::Configuration> Next = this->replaceLostIdentity(Now);
+  if (!Next)
+    Next = this->addCaughtUpVoter(Now);
+  if (!Next)
+    Next = this->removeReplacedVoter(Now);
+  if (Next && this->canCommitWith(*Next, Now))
+    this->proposeConfiguration(std::move(*Next));
+}
+
+/// Removes the identity that a host has replaced by a new one. That disk never
+/// votes again, so its removal costs no tolerated failure.
+std::optional<message::Configuration>
+Replica::replaceLostIdentity(TimePoint Now) const {
+  const message::Configuration &Current = this->Log.configuration();
+  for (const auto &[Host, PeerProgress] : this->Peers) {
+    if (!hasHost(Current, Host) || voterDisk(Current, Host).empty() ||
+        isVoter(Current, Host, PeerProgress.Disk) ||
+        !this->isActive(PeerProgress, Now) || !this->hasCaughtUp(PeerProgress))
       continue;
-    }
-    removeVoter(Next, Voter.host());
-    if (this->canCommitWith(Next, Now))
-      this->proposeConfiguration(std::move(Next));
-    return;
+    message::Configuration Next = Current;
+    removeVoter(Next, Host);
+    return Next;
   }
+  return std::nullopt;
+}
+
+/// Adds a voter before the one that it replaces is removed: with fewer voters
+/// in between, the loss of one more disk could leave no majority for good.
+std::optional<message::Configuration>
+Replica::addCaughtUpVoter(TimePoint Now) const {
+  const message::Configuration &Current = this->Log.configuration();
+  if (Current.voters_size() > Current.hosts_size())
+    return std::nullopt;
   for (const auto &[Host, PeerProgress] : this->Peers) {
-    if (isVoter(Current, Host, PeerProgress.Disk) || !hasHost(Current, Host) ||
+    if (!hasHost(Current, Host) || !voterDisk(Current, Host).empty() ||
         !this->isActive(PeerProgress, Now) || !this->hasCaughtUp(PeerProgress))
       continue;
-    if (voterDisk(Current, Host).empty())
-      addVoter(Next, Host, PeerProgress.Disk);
-    else
-      removeVoter(Next, Host);
-    if (this->canCommitWith(Next, Now))
-      this->proposeConfiguration(std::move(Next));
-    return;
+    message::Configuration Next = Current;
+    addVoter(Next, Host, PeerProgress.Disk);
+    return Next;
   }
+  return std::nullopt;
+}
+
+/// Removes a voter on a host that should hold none, an unreachable one first.
+/// If this replica is the only one, it transfers its leadership.
+std::optional<message::Configuration>
+Replica::removeReplacedVoter(TimePoint Now) {
+  const message::Configuration &Current = this->Log.configuration();
+  if (Current.voters_size() <= Current.hosts_size())
+    return std::nullopt;
+  std::optional<HostName> Removed;
+  for (const message::Member &Voter : Current.voters()) {
+    if (hasHost(Current, Voter.host()) || Voter.host() == this->Options.Self)
+      continue;
+    auto Peer = this->Peers.find(Voter.host());
+    bool IsUnreachable =
+        Peer == this->Peers.end() || !this->isActive(Peer->second, Now);
+    if (!Removed || IsUnreachable)
+      Removed = Voter.host();
+  }
+  if (!Removed) {
+    if (!hasHost(Current, this->Options.Self))
+      this->transferLeadership(Now);
+    return std::nullopt;
+  }
+  message::Configuration Next = Current;
+  removeVoter(Next, *Removed);
+  return Next;
 }
 
 std::vector<HostName> Replica::learners() const {
--- a/Libraries/LibControl/ControlHosts.cpp
+++ b/Libraries/LibControl/ControlHosts.cpp
@@ -17,13 +17,15 @@
 }
 
 void ControlHosts::recordContact(TimePoint Now, const HostName &Host,
-                                 const FailureDomainName &Domain) {
+                                 const FailureDomainName &Domain,
+                                 bool Stopping) {
   this->addHost(Now, Host);
   auto Found = this->Hosts.find(Host);
   if (Found == this->Hosts.end())
     return;
   Found->second.Domain = Domain;
   Found->second.LastContactAt = Now;
+  Found->second.Stopping = Stopping;
 }
 
 void ControlHosts::removeExpired(TimePoint Now) {
@@ -46,6 +48,7 @@
     return true;
   auto Found = this->Hosts.find(Host);
   return Found != this->Hosts.end() && Found->second.LastContactAt &&
+         !Found->second.Stopping &&
          Now - *Found->second.LastContactAt < this->Options.VoterTimeout;
 }
 
@@ -111,4 +114,30 @@
   return Chosen;
 }
 
+std::optional<std::vector<HostName>>
+ControlHosts::chooseRequest(TimePoint Now, std::span<const HostName> Current,
+                            std::span<const HostName> Requested,
+                            const FaultTolerance &Tolerance) const {
+  auto Chosen = this->chooseVoters(Now, Current, Tolerance);
+  // All voters should stay, so a replacement that has not begun is abandoned.
+  // With more or fewer voters than requested, it has begun.
+  if (!Chosen && Current.size() == Requested.size()) {
+    Chosen.emplace(Current.begin(), Current.end());
+    std::ranges::sort(*Chosen);
+  }
+  std::vector<HostName> Sorted(Requested.begin(), Requested.end());
+  std::ranges::sort(Sorted);
+  if (Chosen == Sorted)
+    return std::nullopt;
+  return Chosen;
+}
+
+bool ControlHosts::hasSuccessor(TimePoint Now,
+                                std::span<const HostName> Voters) const {
+  return std::ranges::any_of(this->Hosts, [&](const auto &Entry) {
+    return this->isReachable(Now, Entry.first) &&
+           std::ranges::find(Voters, Entry.first) == Voters.end();
+  });
+}
+
 } // namespace carobhinge
--- a/Libraries/LibControl/ControlHosts.h
+++ b/Libraries/LibControl/ControlHosts.h
@@ -38,25 +38,41 @@
   /// Adds a host that another one named as a control host. \returns whether it
   /// is new.
   bool addHost(TimePoint Now, const HostName &Host);
-  /// Records a message from \p Host that states its failure domain.
+  /// Records a message from \p Host that states its failure domain, and
+  /// whether its process is about to stop.
   void recordContact(TimePoint Now, const HostName &Host,
-                     const FailureDomainName &Domain);
+                     const FailureDomainName &Domain, bool Stopping = false);
   void removeExpired(TimePoint Now);
 
   [[nodiscard]] std::vector<HostName> allHosts() const;
 
   /// The hosts that should vote: 2f + 1 for f tolerated host failures, spread
-  /// over the failure domains, with as few changes as possible. \p Current are
-  /// the current voters. \returns nothing if they should stay.
+  /// over the failure domains, with as few changes as possible. A host that is
+  /// about to stop counts as unreachable. \p Current are the current voters.
+  /// \returns nothing if they should stay.
   [[nodiscard]] std::optional<std::vector<HostName>>
   chooseVoters(TimePoint Now, std::span<const HostName> Current,
                const FaultTolerance &Tolerance) const;
 
+  /// Like chooseVoters(), while a change from \p Current to \p Requested may
+  /// be in progress. \returns nothing if that change should go on.
+  [[nodiscard]] std::optional<std::vector<HostName>>
+  chooseRequest(TimePoint Now, std::span<const HostName> Current,
+                std::span<const HostName> Requested,
+                const FaultTolerance &Tolerance) const;
+
+  /// \returns whether a reachable host other than \p Voters could take over
+  /// the vote of this host.
+  [[nodiscard]] bool hasSuccessor(TimePoint Now,
+                                  std::span<const HostName> Voters) const;
+
 private:
   struct HostRecord {
     FailureDomainName Domain;
     /// Nothing if the host was only named by others so far.
     std::optional<TimePoint> LastContactAt;
+    /// Its last message said that its process is about to stop.
+    bool Stopping = false;
     TimePoint AddedAt;
   };
 
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -36,11 +36,11 @@
 /// A process that has just started plans only after one report interval plus
 /// this margin: by then it has a report of every engine.
 static constexpr auto ReportMargin = std::chrono::milliseconds(1200);
-/// Interval between two changes of the voters; the previous one is still in
-/// progress during this time.
+/// Interval between two requests for other voters. The log ignores a request
+/// while the configuration before is not committed.
 static constexpr auto VoterChangeInterval = std::chrono::milliseconds(500);
-/// Interval after which the same change is requested again.
-static constexpr auto VoterChangeRetryInterval = std::chrono::seconds(5);
+/// Interval between two announcements of a process that is about to stop.
+static constexpr auto HandoverInterval = std::chrono::milliseconds(100);
 /// Closing the links to other hosts takes one iteration of the executor.
 static constexpr auto LinkCloseTime = std::chrono::milliseconds(50);
 /// Transferring leadership takes one round trip.
@@ -127,6 +127,7 @@
 
 asio::awaitable<void> ControlProcess::stop() {
   logEvent(Severity::Info, "stop", {{"role", "control"}});
+  co_await this->handOverVote();
   this->CallServer.drain();
   this->State.transferLeadership();
   Signal Pause(this->Context.get_executor());
@@ -147,6 +148,27 @@
              static_cast<std::int64_t>(this->CallServer.activeExchanges())}});
 }
 
+asio::awaitable<void> ControlProcess::handOverVote() {
+  TimePoint StopAt = monotonicNow();
+  this->Handover.emplace(StopAt, this->Settings.Bounds.GraceTime,
+                         this->Settings.Ip, this->State.status().Voters);
+  auto HasSuccessor = [this] {
+    return this->Hosts.hasSuccessor(monotonicNow(), this->Handover->voters());
+  };
+  Signal Pause(this->Context.get_executor());
+  this->introduceToAll();
+  while (!this->Handover->isFinished(monotonicNow(), HasSuccessor())) {
+    // A leader does not remove its own vote.
+    if (this->State.status().Current == Role::Leader)
+      this->State.transferLeadership();
+    co_await Pause.wait(HandoverInterval);
+    this->introduceToAll();
+  }
+  logEvent(Severity::Info, "vote-handover",
+           {{"outcome", std::string(this->Handover->outcome(HasSuccessor()))},
+            {"took_ms", milliseconds(monotonicNow() - StopAt)}});
+}
+
 WireLink &ControlProcess::link(const HostName &Host) {
   std::unique_ptr<WireLink> &Link = this->Links[Host];
   if (!Link)
@@ -309,31 +331,40 @@
 
 void ControlProcess::chooseVoters(TimePoint Now) {
   LogStatus Status = this->State.status();
-  auto Chosen =
-      this->Hosts.chooseVoters(Now, Status.Voters, this->Settings.Tolerance);
-  if (!Chosen || !this->LeadershipConfirmedAt)
-    return;
-  bool IsRepeated = this->RequestedVoters == *Chosen;
-  if (Now - this->VotersRequestedAt <
-      (IsRepeated ? VoterChangeRetryInterval : VoterChangeInterval))
+  this->logVoters(Status);
+  auto Chosen = this->Hosts.chooseRequest(
+      Now, Status.Voters, Status.RequestedHosts, this->Settings.Tolerance);
+  if (!Chosen || !this->LeadershipConfirmedAt ||
+      Now - this->VotersRequestedAt < VoterChangeInterval)
     return;
   this->VotersRequestedAt = Now;
-  this->RequestedVoters = *Chosen;
   logEvent(Severity::Info, "voters-change",
            {{"voters", boost::algorithm::join(Status.Voters, " ")},
             {"wanted", boost::algorithm::join(*Chosen, " ")}});
   this->State.changeVoters(std::move(*Chosen));
 }
 
+void ControlProcess::logVoters(const LogStatus &Status) {
+  if (!Status.VotersCommitted || Status.Voters == this->LoggedVoters)
+    return;
+  this->LoggedVoters = Status.Voters;
+  logEvent(Severity::Info, "voters-in-force",
+           {{"voters", boost::algorithm::join(Status.Voters, " ")}});
+}
+
+void ControlProcess::introduceToAll() {
+  for (const HostName &Host : this->Hosts.allHosts())
+    if (Host != this->Settings.Ip)
+      asio::co_spawn(this->Context, this->introduce(Host), asio::detached);
+}
+
 asio::awaitable<void> ControlProcess::introduceLoop() {
   asio::steady_timer Timer(this->Context);
   auto Completion = asio::as_tuple(asio::use_awaitable);
   while (!this->Stopping) {
     this->Hosts.removeExpired(monotonicNow());
     this->State.setContactHosts(this->Hosts.allHosts());
-    for (const HostName &Host : this->Hosts.allHosts())
-      if (Host != this->Settings.Ip)
-        asio::co_spawn(this->Context, this->introduce(Host), asio::detached);
+    this->introduceToAll();
     Timer.expires_after(IntroduceInterval);
     co_await Timer.async_wait(Completion);
   }
@@ -342,6 +373,7 @@
 asio::awaitable<void> ControlProcess::introduce(HostName To) {
   message::IntroduceCall Call;
   Call.set_failure_domain(this->Settings.FailureDomain);
+  Call.set_stopping(this->Handover.has_value());
   for (const HostName &Host : this->Hosts.allHosts())
     Call.add_control_hosts(Host);
   WireReply Reply = co_await this->link(To).call(
@@ -351,7 +383,10 @@
       !Result.ParseFromString(Reply.Message))
     co_return;
   TimePoint Now = monotonicNow();
-  this->Hosts.recordContact(Now, To, Result.failure_domain());
+  this->Hosts.recordContact(Now, To, Result.failure_domain(),
+                            Result.stopping());
+  if (this->Handover && Result.caller_released())
+    this->Handover->recordRelease();
   for (const std::string &Host : Result.control_hosts())
     this->Hosts.addHost(Now, Host);
 }
@@ -368,9 +403,17 @@
     message::IntroduceCall Call;
     Call.ParseFromString(Exchange.message());
     TimePoint Now = monotonicNow();
-    this->Hosts.recordContact(Now, Exchange.caller(), Call.failure_domain());
+    this->Hosts.recordContact(Now, Exchange.caller(), Call.failure_domain(),
+                              Call.stopping());
     message::IntroduceResult Result;
     Result.set_failure_domain(this->Settings.FailureDomain);
+    Result.set_stopping(this->Handover.has_value());
+    LogStatus Status = this->State.status();
+    Result.set_caller_released(
+        this->hasLeadershipLease() && Status.Current == Role::Leader &&
+        Status.VotersCommitted &&
+        std::ranges::find(Status.Voters, Exchange.caller()) ==
+            Status.Voters.end());
     for (const HostName &Host : this->Hosts.allHosts())
       Result.add_control_hosts(Host);
     for (const std::string &Host : Call.control_hosts())
--- a/Libraries/LibControl/ControlProcess.h
+++ b/Libraries/LibControl/ControlProcess.h
@@ -17,6 +17,7 @@
 #include <LibControl/EntrySubscriptions.h>
 #include <LibControl/GroupCoordinator.h>
 #include <LibControl/ReplicatedState.h>
+#include <LibControl/VoteHandover.h>
 #include <LibHTTP/HttpServer.h>
 #include <LibWire/WireLink.h>
 #include <LibWire/WireServer.h>
@@ -35,7 +36,8 @@
   ~ControlProcess();
 
   void start();
-  /// Transfers leadership to another host, then closes all servers and links.
+  /// Hands over the vote and the leadership to other hosts, then closes all
+  /// servers and links.
   boost::asio::awaitable<void> stop();
 
 private:
@@ -47,6 +49,7 @@
 
   boost::asio::awaitable<void> tickLoop();
   boost::asio::awaitable<void> introduceLoop();
+  void introduceToAll();
   boost::asio::awaitable<void> introduce(HostName To);
   void tick(TimePoint Now);
   [[nodiscard]] bool hasLeadershipLease() const;
@@ -59,6 +62,9 @@
   /// Runs a step before the next tick.
   void scheduleStep();
   void chooseVoters(TimePoint Now);
+  void logVoters(const LogStatus &Status);
+  /// Returns once another host votes in place of this one, or if none can.
+  boost::asio::awaitable<void> handOverVote();
   void recoverDisk(TimePoint Now);
   void handleStateChange(const message::RegisterState &NewState);
   WireLink &link(const HostName &Host);
@@ -118,7 +124,10 @@
   TimePoint LastStepAt;
   bool StepScheduled = false;
   TimePoint VotersRequestedAt;
-  std::vector<HostName> RequestedVoters;
+  std::vector<HostName> LoggedVoters;
+  /// Set once the process was told to stop.
+  std::optional<VoteHandover> Handover;
+  /// The links to other control hosts are closed.
   bool Stopping = false;
 };
 
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -44,6 +44,8 @@
       {"leadership-gained", {"term", "endpoints"}},
       {"leadership-lost", {}},
       {"voters-change", {"voters", "wanted"}},
+      {"voters-in-force", {"voters"}},
+      {"vote-handover", {"outcome", "took_ms"}},
       {"state-agreed", {"version", "emptied_domains"}},
       {"change", {"version", "failure_domain", "emptied", "outcome"}},
       {"catalog-refused", {"findings"}},
--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -340,6 +340,102 @@
             3);
 }
 
+/// A voter is replaced by the spare host d.
+class ReplacedVoterTest : public ReplicaTest {
+protected:
+  /// Starts the cluster and replaces \p Removed. Calls \p OnStep at each step
+  /// of any host from then on, with the number of the step.
+  void replace(const HostName &Removed,
+               const std::function<void(unsigned Step)> &OnStep) {
+    std::vector<HostName> Wanted = Three;
+    std::replace(Wanted.begin(), Wanted.end(), Removed, HostName("d"));
+    this->Cluster->Hook = [OnStep, Step = 0U](const HostName &,
+                                              std::string_view) mutable {
+      OnStep(++Step);
+    };
+    this->Cluster->runOn(this->Leader, [&](Replica &Node, TimePoint Now) {
+      EXPECT_TRUE(Node.changeHosts(Now, Wanted));
+    });
+  }
+  [[nodiscard]] int voters(const HostName &Host) {
+    return this->Cluster->replica(Host).log().configuration().voters_size();
+  }
+  /// \returns whether a command is committed within 30 s.
+  bool commitsAgain() {
+    this->Cluster->Hook = {};
+    for (int Second = 0; Second < 30; ++Second) {
+      this->Cluster->advance(1s);
+      HostName Current = this->Cluster->leader();
+      if (Current.empty())
+        continue;
+      std::size_t Id = this->Cluster->propose(Current, "after");
+      this->Cluster->advance(500ms);
+      if (this->Cluster->outcome(Id) == Outcome::Committed)
+        return true;
+    }
+    return false;
+  }
+};
+
+// Guards against fewer voters than before while a voter is replaced.
+TEST_F(ReplacedVoterTest, ReplacedVoterIsRemovedOnlyOnceItsSuccessorVotes) {
+  this->start({.Hosts = Three, .Spares = {"d"}});
+  int Fewest = 3;
+  this->replace(this->First, [&](unsigned) {
+    Fewest = std::min(Fewest, this->voters(this->Leader));
+  });
+  this->Cluster->advance(20s);
+  EXPECT_EQ(Fewest, 3);
+  EXPECT_TRUE(this->repairComplete());
+  EXPECT_FALSE(
+      isVoter(this->Cluster->replica(this->Leader).log().configuration(),
+              this->First, this->Cluster->replica(this->First).disk()));
+}
+
+// Guards against a majority that is lost for good when a disk is lost at some
+// step of a replacement while the replaced host still runs.
+TEST_F(ReplacedVoterTest, DiskLostAtAnyStepLeavesAMajority) {
+  const std::vector<HostName> Victims = {"a", "b", "c", "d"};
+  static constexpr unsigned Steps = 60;
+  for (const HostName &Victim : Victims)
+    for (unsigned LostAt = 1; LostAt <= Steps; ++LostAt) {
+      this->start({.Hosts = Three, .Spares = {"d"}});
+      // Which host is to go depends on the case, the leader among them.
+      const HostName Removed = Three[LostAt % Three.size()];
+      bool Due = false;
+      this->replace(Removed, [&](unsigned Step) { Due |= Step == LostAt; });
+      for (int Tick = 0; Tick < 1000 && !Due; ++Tick)
+        this->Cluster->advance(5ms);
+      this->loseDisk(Victim);
+      ASSERT_TRUE(this->commitsAgain())
+          << Victim << " lost its disk at step " << LostAt << ", " << Removed
+          << " was to go";
+      ASSERT_THAT(this->Cluster->Violations, IsEmpty());
+    }
+}
+
+// Guards against a handover that is cut off half-way: the replaced host ends
+// at some step, another host restarts, and the replaced host returns.
+TEST_F(ReplacedVoterTest, HostsKilledAtAnyStepLeaveAMajority) {
+  static constexpr unsigned Steps = 60;
+  for (unsigned KilledAt = 1; KilledAt <= Steps; ++KilledAt) {
+    this->start({.Hosts = Three, .Spares = {"d"}});
+    const HostName Removed = Three[KilledAt % Three.size()];
+    bool Due = false;
+    this->replace(Removed, [&](unsigned Step) { Due |= Step == KilledAt; });
+    for (int Tick = 0; Tick < 1000 && !Due; ++Tick)
+      this->Cluster->advance(5ms);
+    this->Cluster->kill(Removed);
+    const HostName &Other = Three[(KilledAt + 1) % Three.size()];
+    this->Cluster->restart(Other);
+    ASSERT_TRUE(this->commitsAgain()) << "killed at step " << KilledAt;
+    this->Cluster->restart(Removed);
+    this->Cluster->kill(Other);
+    ASSERT_TRUE(this->commitsAgain()) << "returned, step " << KilledAt;
+    ASSERT_THAT(this->Cluster->Violations, IsEmpty());
+  }
+}
+
 TEST_F(ReplicaTest, FailedSyncStopsTheReplica) {
   this->Cluster->disk(this->First).FailSyncs = true;
   this->commit(1);
--- a/Tests/LibControl/TestControlHosts.cpp
+++ b/Tests/LibControl/TestControlHosts.cpp
@@ -76,3 +76,68 @@
   std::vector<HostName> Voters{"h00", "h10", "h20", "h30", "h40"};
   EXPECT_FALSE(Hosts.chooseVoters(Start, Voters, {.Hosts = 1}));
 }
+
+// Guards against a voter that counts until its timeout although it has said
+// that it stops.
+TEST(ControlHosts, ReplacesAStoppingVoterAtOnce) {
+  ControlHosts Hosts = makeHosts(3, 1);
+  Hosts.recordContact(Start, "h29", "d2");
+  std::vector<HostName> Voters{"h00", "h10", "h20"};
+  EXPECT_FALSE(Hosts.chooseVoters(Start, Voters, {.Hosts = 1}));
+  Hosts.recordContact(Start, "h20", "d2", true);
+  auto Chosen = Hosts.chooseVoters(Start, Voters, {.Hosts = 1});
+  ASSERT_TRUE(Chosen);
+  EXPECT_EQ(*Chosen, (std::vector<HostName>{"h00", "h10", "h29"}));
+  // It has started again.
+  Hosts.recordContact(Start, "h20", "d2");
+  EXPECT_FALSE(Hosts.chooseVoters(Start, Voters, {.Hosts = 1}));
+}
+
+TEST(ControlHosts, StoppingVoterStaysIfNoOtherHostCanReplaceIt) {
+  ControlHosts Hosts = makeHosts(3, 1);
+  std::vector<HostName> Voters{"h00", "h10", "h20"};
+  Hosts.recordContact(Start, "h20", "d2", true);
+  EXPECT_FALSE(Hosts.chooseVoters(Start, Voters, {.Hosts = 1}));
+}
+
+TEST(ControlHosts, TwoVotersThatStopAtOnceAreBothReplaced) {
+  ControlHosts Hosts = makeHosts(3, 1);
+  Hosts.recordContact(Start, "h19", "d1");
+  Hosts.recordContact(Start, "h29", "d2");
+  std::vector<HostName> Voters{"h00", "h10", "h20"};
+  Hosts.recordContact(Start, "h10", "d1", true);
+  Hosts.recordContact(Start, "h20", "d2", true);
+  EXPECT_EQ(Hosts.chooseRequest(Start, Voters, Voters, {.Hosts = 1}),
+            (std::vector<HostName>{"h00", "h19", "h29"}));
+}
+
+// Guards against a request that the log ignored and that is not repeated, and
+// against a replacement that goes on after its reason has gone.
+TEST(ControlHosts, RequestsChangeUntilTheLogHasTakenItUp) {
+  ControlHosts Hosts = makeHosts(3, 1);
+  Hosts.recordContact(Start, "h29", "d2");
+  std::vector<HostName> Voters{"h00", "h10", "h20"};
+  std::vector<HostName> Wanted{"h00", "h10", "h29"};
+  EXPECT_FALSE(Hosts.chooseRequest(Start, Voters, Voters, {.Hosts = 1}));
+  Hosts.recordContact(Start, "h20", "d2", true);
+  EXPECT_EQ(Hosts.chooseRequest(Start, Voters, Voters, {.Hosts = 1}), Wanted);
+  EXPECT_FALSE(Hosts.chooseRequest(Start, Voters, Wanted, {.Hosts = 1}));
+  // The successor votes; the replaced voter is still to be removed.
+  std::vector<HostName> Four{"h00", "h10", "h20", "h29"};
+  EXPECT_FALSE(Hosts.chooseRequest(Start, Four, Wanted, {.Hosts = 1}));
+  // It has returned before its successor votes.
+  Hosts.recordContact(Start, "h20", "d2");
+  EXPECT_EQ(Hosts.chooseRequest(Start, Voters, Wanted, {.Hosts = 1}), Voters);
+  EXPECT_FALSE(Hosts.chooseRequest(Start, Four, Wanted, {.Hosts = 1}));
+}
+
+TEST(ControlHosts, SuccessorIsAReachableHostWithoutAVote) {
+  ControlHosts Hosts = makeHosts(3, 1);
+  std::vector<HostName> Voters{"h00", "h10", "h20"};
+  EXPECT_FALSE(Hosts.hasSuccessor(Start, Voters));
+  Hosts.recordContact(Start, "h29", "d2");
+  EXPECT_TRUE(Hosts.hasSuccessor(Start, Voters));
+  EXPECT_FALSE(Hosts.hasSuccessor(Start + seconds(3), Voters));
+  Hosts.recordContact(Start, "h29", "d2", true);
+  EXPECT_FALSE(Hosts.hasSuccessor(Start, Voters));
+}
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -233,6 +233,31 @@
 
 namespace {
 
+/// Three control hosts, and up to two without a vote that start later.
+class ReplacedControlHost : public testing::Test {
+protected:
+  void SetUp() override { this->Deployment.start(); }
+  void startSuccessors(std::size_t Count) {
+    for (std::size_t I = 0; I < Count; ++I)
+      this->Deployment.startHost(FirstSuccessor + I);
+    std::this_thread::sleep_for(CatchUpTime);
+  }
+  void stop(std::size_t Host) {
+    this->Deployment.process(Host).signal(SIGTERM);
+    EXPECT_EQ(this->Deployment.process(Host).wait(StopLimit), 0);
+  }
+  void loseDisk(std::size_t Host) {
+    this->Deployment.process(Host).signal(SIGKILL);
+    this->Deployment.process(Host).wait(StopLimit);
+    this->Deployment.removeDataFolder(Host);
+  }
+
+  static constexpr auto CatchUpTime = seconds(4);
+  static constexpr std::size_t FirstSuccessor = 3;
+  PlatformDeployment Deployment{
+      {.ControlHosts = 5, .LaterControlHosts = 2, .EntryHosts = 1}};
+};
+
 /// Calls of every kind at an entry host that is cut off from all endpoints.
 class CutOffHost : public PlatformProcesses {
 protected:
@@ -258,6 +283,51 @@
 
 } // namespace
 
+// Guards against a majority that is lost for good: a control host is replaced
+// as planned, then another one loses its disk.
+TEST_F(ReplacedControlHost, LeavesAMajorityWhenAnotherHostThenLosesItsDisk) {
+  this->startSuccessors(1);
+  this->stop(0);
+  ASSERT_TRUE(this->Deployment.putCatalog(2));
+  this->loseDisk(1);
+  std::this_thread::sleep_for(seconds(3));
+  this->Deployment.startHost(1);
+  PlatformDeployment::waitFor("the acknowledged catalog is returned", [this] {
+    return this->Deployment.readVersion() == 2U;
+  });
+  EXPECT_TRUE(this->Deployment.putCatalog(3));
+}
+
+// Guards against two planned replacements at once, of which only one hands its
+// vote over in time.
+TEST_F(ReplacedControlHost, TwoStoppedAtOnceBothHandOverTheirVotes) {
+  this->startSuccessors(2);
+  this->Deployment.process(0).signal(SIGTERM);
+  this->stop(1);
+  EXPECT_EQ(this->Deployment.process(0).wait(StopLimit), 0);
+  ASSERT_TRUE(this->Deployment.putCatalog(2));
+  this->loseDisk(2);
+  this->Deployment.startHost(2);
+  PlatformDeployment::waitFor("the acknowledged catalog is returned", [this] {
+    return this->Deployment.readVersion() == 2U;
+  });
+  EXPECT_EQ(readLogs(this->Deployment.logs()).Faults,
+            std::vector<std::string>());
+}
+
+// Guards against a stop that waits although nobody can take over the vote, and
+// against a vote that is given away in a mere restart.
+TEST_F(ReplacedControlHost, HostWithoutSuccessorKeepsItsVoteInARestart) {
+  TimePoint StopAt = monotonicNow();
+  this->stop(0);
+  EXPECT_LT(monotonicNow() - StopAt, seconds(2));
+  this->Deployment.startHost(0);
+  this->Deployment.process(1).signal(SIGKILL);
+  PlatformDeployment::waitFor("the restarted host votes", [this] {
+    return this->Deployment.putCatalog(2, seconds(1));
+  });
+}
+
 // Guards against callers of a host that has lost its links to all endpoints,
 // who are refused for as long as that lasts although other hosts can serve
 // them.
--- a/Tests/PlatformWorld/PlatformDeployment.cpp
+++ b/Tests/PlatformWorld/PlatformDeployment.cpp
@@ -170,7 +170,7 @@
   Settings["peer_listen_port"] = PeerListenPort;
   Settings["metrics_port"] = MetricsPort;
   Settings["seeds"] = std::move(Seeds);
-  Settings["first_start"] = !OwnHost.Started;
+  Settings["first_start"] = !OwnHost.Started && !this->startsLater(Index);
   Settings["report_interval_ms"] = toMs(ReportInterval);
   std::ofstream(this->file(OwnHost.Name + ".json"))
       << json::serialize(Settings);
@@ -397,7 +397,8 @@
   }
   this->LinkThread = std::jthread([this] { this->LinkContext.run(); });
   for (std::size_t I = 0; I < this->Hosts.size(); ++I)
-    this->startHost(I);
+    if (!this->startsLater(I))
+      this->startHost(I);
   this->Endpoints->start();
   if (!this->putCatalog(1, WaitLimit))
     throw std::runtime_error("catalog version 1 was not acknowledged in time");
--- a/Tests/PlatformWorld/PlatformDeployment.h
+++ b/Tests/PlatformWorld/PlatformDeployment.h
@@ -22,6 +22,9 @@
 
 struct PlatformPlan {
   unsigned ControlHosts = 3;
+  /// Of these, hosts that the test starts later; they are no seeds. They have
+  /// the highest indices of the control hosts.
+  unsigned LaterControlHosts = 0;
   unsigned EntryHosts = 3;
   int EnginesPerFabric = 5;
   int FabricsPerDomain = 2;
@@ -33,8 +36,8 @@
   explicit PlatformDeployment(PlatformPlan Plan);
   ~PlatformDeployment();
 
-  /// Starts all processes and endpoints, uploads the first catalog and waits
-  /// until each entry host is ready.
+  /// Starts all processes but those of LaterControlHosts and all endpoints,
+  /// uploads the first catalog and waits until each entry host is ready.
   /// \throws std::runtime_error if that takes too long.
   void start();
 
@@ -108,6 +111,10 @@
   };
   [[nodiscard]] std::string file(const std::string &Name) const;
   void addHost(unsigned Number, bool Control);
+  [[nodiscard]] bool startsLater(std::size_t Index) const {
+    return this->isControl(Index) &&
+           Index >= this->Plan.ControlHosts - this->Plan.LaterControlHosts;
+  }
   void writeSettings(std::size_t Index);
   [[nodiscard]] std::vector<std::string> controlAddresses() const;
   [[nodiscard]] HttpFetchResult sendToControl(const HttpRequest &Request,
