LibControl: Commit the end of an endpoint before acknowledging it

Cause: the leader alone, in its memory, knew of the end. The same class: the end of an endpoint that the leader had never heard of was acknowledged and forgotten; ends were lost when all control hosts restarted; hosts that don't lead never removed records of ended endpoints.

Change: ends are commands of the replicated log, with the life that they end, so that a later life under the same id or address is not meant; reports of an ended life are recorded as leaving. Forgotten after 120 s, at most 16,384. Log line endpoint-ended.

--- a/Libraries/LibCatalog/ControlStateMachine.cpp
+++ b/Libraries/LibCatalog/ControlStateMachine.cpp
@@ -51,13 +51,43 @@
   return true;
 }
 
-std::string ControlStateMachine::apply(std::uint64_t, std::int64_t,
+bool ControlStateMachine::acceptEnds(const message::RegisterCommand &Command,
+                                     std::int64_t StampMs) {
+  auto &Ended = *this->State.mutable_ended_endpoints();
+  bool IsChanged = false;
+  for (const message::EndedEndpointMessage &End : Command.ended_endpoints()) {
+    auto Found =
+        std::ranges::find(Ended, End.id(), &message::EndedEndpointMessage::id);
+    if (Found != Ended.end() &&
+        Found->started_until_ms() >= End.started_until_ms())
+      continue;
+    if (Found != Ended.end())
+      Ended.erase(Found);
+    message::EndedEndpointMessage &Added = *Ended.Add();
+    Added = End;
+    Added.set_recorded_ms(StampMs);
+    IsChanged = true;
+  }
+  auto IsOld = [&](const message::EndedEndpointMessage &End) {
+    return End.recorded_ms() + EndedEndpointTimeMs < StampMs;
+  };
+  auto FirstKept = std::ranges::find_if_not(Ended, IsOld);
+  if (Ended.end() - FirstKept > MaxEndedEndpoints)
+    FirstKept = Ended.end() - MaxEndedEndpoints;
+  Ended.erase(Ended.begin(), FirstKept);
+  return IsChanged;
+}
+
+std::string ControlStateMachine::apply(std::uint64_t, std::int64_t StampMs,
                                        std::string_view Command) {
   message::RegisterCommand Decoded;
   if (!Decoded.ParseFromArray(Command.data(), static_cast<int>(Command.size())))
     // Every replica applies this entry, after each restart again.
     return "malformed";
-  if (this->accept(Decoded)) {
+  if (Decoded.ended_endpoints_size() > 0) {
+    if (this->acceptEnds(Decoded, StampMs))
+      this->OnChange(this->State);
+  } else if (this->accept(Decoded)) {
     this->State.set_revision(this->State.revision() + 1);
     this->OnChange(this->State);
   }
--- a/Libraries/LibCatalog/ControlStateMachine.h
+++ b/Libraries/LibCatalog/ControlStateMachine.h
@@ -2,8 +2,9 @@
 ///
 /// \file
 /// State that the control hosts replicate by consensus: the catalog with the
-/// highest version, as the operator sent it, the drained failure domains, and
-/// the prompts that are refused because engines crash on them.
+/// highest version, as the operator sent it, the drained failure domains, the
+/// prompts that are refused because engines crash on them, and the endpoints
+/// that have announced their end.
 /// The catalog's version never decreases.
 ///
 //===----------------------------------------------------------------------===//
@@ -18,6 +19,13 @@
 
 namespace carobhinge {
 
+/// An end is kept for this long, in milliseconds. No control host lists an
+/// endpoint that has not reported for a quarter of it, and reports are seconds
+/// late at most.
+inline constexpr std::int64_t EndedEndpointTimeMs = 120 * 1000;
+/// Bound on the ends that are kept; the oldest are forgotten first.
+inline constexpr int MaxEndedEndpoints = 16384;
+
 /// State machine of the control hosts' replicated log.
 class ControlStateMachine : public StateMachine {
 public:
@@ -44,6 +52,10 @@
   /// \returns whether the command changed the state.
   bool accept(const message::RegisterCommand &Command);
   bool acceptRefusal(const message::RegisterCommand &Command);
+  /// \returns whether the command added an end. Forgets those that no report
+  /// can contradict any more.
+  bool acceptEnds(const message::RegisterCommand &Command,
+                  std::int64_t StampMs);
 
   Observer OnChange;
   /// The version never decreases; the text is the catalog of that version.
--- a/Libraries/LibControl/ControlCalls.cpp
+++ b/Libraries/LibControl/ControlCalls.cpp
@@ -2,8 +2,8 @@
 ///
 /// \file
 /// Handlers for the calls of operators and endpoints. A change of the state is
-/// acknowledged once a majority has it on disk, the stop of an endpoint once
-/// the leader has received it.
+/// acknowledged once a majority has it on disk, and so is the end of an
+/// endpoint.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -32,6 +32,19 @@
 /// leader is known.
 static constexpr auto StartupElectionTimeout = std::chrono::seconds(4);
 
+/// The control hosts keep the names of endpoints that end.
+static constexpr std::size_t MaxEndpointNameBytes = 256;
+/// Names from calls are cut to this length in the log.
+static constexpr std::size_t MaxLoggedNameBytes = 64;
+
+/// \returns the beginning of \p Text with other than printable ASCII replaced.
+static std::string printable(std::string_view Text, std::size_t MaxBytes) {
+  std::string Result(Text.substr(0, MaxBytes));
+  std::ranges::replace_if(
+      Result, [](char C) { return C < ' ' || C > '~'; }, '?');
+  return Result;
+}
+
 static HttpResponse makeResponse(unsigned Status, std::string Body = "{}") {
   return {.Status = Status,
           .ContentType = "application/json",
@@ -237,22 +250,13 @@
   return monotonicNow() - this->StartedAt < StartupElectionTimeout;
 }
 
-/// \returns the beginning of \p Text with other than printable ASCII replaced.
-static std::string printable(std::string_view Text, std::size_t MaxBytes) {
-  std::string Result(Text.substr(0, MaxBytes));
-  std::ranges::replace_if(
-      Result, [](char C) { return C < ' ' || C > '~'; }, '?');
-  return Result;
-}
-
 /// Logs the first refused report of each endpoint. Anybody can send reports, so
 /// the names are bounded in number and length.
 void ControlProcess::logRefusedReport(const EndpointName &Id,
                                       const Findings &Out) {
   static constexpr std::size_t MaxEndpoints = 256;
-  static constexpr std::size_t MaxNameBytes = 64;
   static constexpr std::size_t MaxReportBytes = 512;
-  std::string Name = printable(Id, MaxNameBytes);
+  std::string Name = printable(Id, MaxLoggedNameBytes);
   if (this->RefusedReporters.size() >= MaxEndpoints ||
       !this->RefusedReporters.insert(Name).second)
     return;
@@ -261,6 +265,15 @@
             {"findings", printable(Out.report(), MaxReportBytes)}});
 }
 
+/// Adds to \p Call that all lives of \p Id until the one that started at \p
+/// StartedUntilMs have ended.
+static void addEnd(const EndpointName &Id, std::int64_t StartedUntilMs,
+                   message::RelayCall &Call) {
+  message::EndpointEndMessage &End = *Call.add_ends();
+  End.set_id(Id);
+  End.set_started_until_ms(StartedUntilMs);
+}
+
 asio::awaitable<void> ControlProcess::handleReport(HttpExchange &Exchange,
                                                    EndpointName Id) {
   Findings Out;
@@ -272,6 +285,7 @@
     co_return co_await Exchange.respond(std::move(Malformed));
   }
   bool Leaving = Report->Leaving;
+  std::int64_t StartedAtMs = Report->StartedAtMs;
   message::EngineReportMessage Message = toMessage(*Report, Duration::zero());
   if (this->Coordinator.recordReport(monotonicNow(), std::move(*Report)))
     this->queueReport(Message);
@@ -279,6 +293,7 @@
   if (Leaving && Accepted) {
     message::RelayCall Call;
     *Call.add_reports() = std::move(Message);
+    addEnd(Id, StartedAtMs, Call);
     Accepted = co_await this->notifyLeader(std::move(Call));
   }
   HttpResponse Result = makeResponse(Accepted ? 200 : 503);
@@ -287,19 +302,56 @@
 
 asio::awaitable<void> ControlProcess::handleLeave(HttpExchange &Exchange,
                                                   EndpointName Id) {
+  if (Id.size() > MaxEndpointNameBytes) {
+    HttpResponse Malformed = makeResponse(400);
+    co_return co_await Exchange.respond(std::move(Malformed));
+  }
   this->Coordinator.recordLeave(Id);
   message::RelayCall Call;
   Call.add_leaving(Id);
+  addEnd(Id, this->findEndedStart(Id), Call);
   bool Accepted = co_await this->notifyLeader(std::move(Call));
   HttpResponse Result = makeResponse(Accepted ? 200 : 503);
   co_await Exchange.respond(std::move(Result));
 }
 
+std::int64_t ControlProcess::findEndedStart(const EndpointName &Id) const {
+  const EngineRecord *Record = this->Coordinator.engines().find(Id);
+  std::optional<std::int64_t> KnownStartMs;
+  if (Record != nullptr)
+    KnownStartMs = Record->Report.StartedAtMs;
+  std::int64_t WallMs =
+      milliseconds(std::chrono::system_clock::now().time_since_epoch());
+  return EndpointEnds::endedUntil(KnownStartMs, WallMs);
+}
+
+asio::awaitable<bool> ControlProcess::commitEnds(message::RelayCall Call) {
+  const EndpointEnds &Agreed = this->Coordinator.engines().ends();
+  message::RegisterCommand Command;
+  for (const message::EndpointEndMessage &End : Call.ends()) {
+    if (Agreed.covers(End.id(), End.started_until_ms()))
+      continue;
+    message::EndedEndpointMessage &Added = *Command.add_ended_endpoints();
+    Added.set_id(End.id());
+    Added.set_started_until_ms(End.started_until_ms());
+  }
+  if (Command.ended_endpoints_size() == 0)
+    co_return true;
+  ProposalStatus Status = co_await this->State.propose(Command);
+  for (const message::EndedEndpointMessage &End : Command.ended_endpoints())
+    logEvent(Severity::Info, "endpoint-ended",
+             {{"endpoint", printable(End.id(), MaxLoggedNameBytes)},
+              {"started_until_ms", End.started_until_ms()},
+              {"committed", static_cast<std::int64_t>(
+                                Status == ProposalStatus::Committed)}});
+  co_return Status == ProposalStatus::Committed;
+}
+
 asio::awaitable<bool> ControlProcess::notifyLeader(message::RelayCall Call) {
   if (this->Coordinator.isLeading()) {
     // This step already informs the entry hosts.
     this->runStep();
-    co_return true;
+    co_return co_await this->commitEnds(std::move(Call));
   }
   LogStatus Status = this->State.status();
   if (Status.Leader.empty() || Status.Leader == this->Settings.Ip)
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -180,6 +180,13 @@
 }
 
 void ControlProcess::handleStateChange(const message::RegisterState &NewState) {
+  EndpointEnds Ends;
+  for (const message::EndedEndpointMessage &End : NewState.ended_endpoints())
+    Ends.record(End.id(), End.started_until_ms());
+  this->Coordinator.setEnds(std::move(Ends));
+  if (NewState.revision() == this->HandledRevision)
+    return;
+  this->HandledRevision = NewState.revision();
   if (NewState.version() > this->ActiveCatalog.Version) {
     Findings Out;
     std::string Text =
@@ -226,6 +233,7 @@
 
 void ControlProcess::tick(TimePoint Now) {
   this->recoverDisk(Now);
+  this->Coordinator.removeExpired(Now);
   LogStatus Status = this->State.status();
   if (Status.Current != Role::Leader) {
     if (this->Coordinator.isLeading())
@@ -428,10 +436,23 @@
       this->Coordinator.recordReport(
           Now - std::chrono::milliseconds(Report.age_ms()),
           fromMessage(Report));
-    for (const std::string &Id : Call.leaving())
+    bool IsOfEarlierBuild = Call.ends_size() < Call.leaving_size();
+    for (const std::string &Id : Call.leaving()) {
       this->Coordinator.recordLeave(Id);
+      if (!IsOfEarlierBuild)
+        continue;
+      message::EndpointEndMessage &End = *Call.add_ends();
+      End.set_id(Id);
+      End.set_started_until_ms(this->findEndedStart(Id));
+    }
     message::RelayResult Result;
-    Result.set_leading(this->Coordinator.isLeading());
+    if (this->Coordinator.isLeading()) {
+      // Entry hosts learn of the ends without waiting for the next step.
+      if (Call.ends_size() > 0)
+        this->runStep();
+      bool IsCommitted = co_await this->commitEnds(std::move(Call));
+      Result.set_leading(IsCommitted);
+    }
     co_await Exchange.send(Result.SerializeAsString());
   };
   Table["watch"] = [this](WireExchange &Exchange) {
--- a/Libraries/LibControl/ControlProcess.h
+++ b/Libraries/LibControl/ControlProcess.h
@@ -83,6 +83,12 @@
   boost::asio::awaitable<void> commitCommand(HttpExchange &Exchange,
                                              message::RegisterCommand Command);
   boost::asio::awaitable<void> redirectToLeader(HttpExchange &Exchange);
+  /// \returns the latest start, in Unix milliseconds, of a life that ends when
+  /// \p Id announces its end now.
+  [[nodiscard]] std::int64_t findEndedStart(const EndpointName &Id) const;
+  /// \returns whether a majority has the ends in \p Call on disk, also those
+  /// that it had before.
+  boost::asio::awaitable<bool> commitEnds(message::RelayCall Call);
   /// Sends \p Call to the leader. \returns whether the leader processed it.
   boost::asio::awaitable<bool> notifyLeader(message::RelayCall Call);
   void queueReport(const message::EngineReportMessage &Report);
@@ -103,6 +109,8 @@
   ControlHosts Hosts;
   std::map<HostName, std::unique_ptr<WireLink>> Links;
   Catalog ActiveCatalog;
+  /// The revision of the state that was handled last.
+  std::uint64_t HandledRevision = 0;
   GroupCoordinator Coordinator;
   ReplicatedState State;
   PromptRefusals Refusals;
--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -88,7 +88,7 @@
   this->Planner.startLeading(Now, Term, ActiveCatalog, ReportsCompleteAt);
 }
 
-void GroupCoordinator::updateLostEngines(TimePoint Now) {
+void GroupCoordinator::removeExpired(TimePoint Now) {
   this->Engines.expire(Now - RemovalTime, Now - LeavingRemovalTime);
   this->HoldOffs.removeUnlisted(Now, [&](const EndpointName &Id) {
     return this->Engines.find(Id) != nullptr;
@@ -97,6 +97,9 @@
     const EngineRecord *Record = this->Engines.find(Entry.first);
     return Record == nullptr || Record->FirstReportAt > Entry.second.SeenAt;
   });
+}
+
+void GroupCoordinator::updateLostEngines(TimePoint Now) {
   for (const EndpointName &Id : this->FailureDetector.enginesToProbe(Now))
     this->probe(Id);
   std::set<EndpointName> Lost = this->FailureDetector.lostEngines(Now);
@@ -260,6 +263,7 @@
 }
 
 bool GroupCoordinator::step(TimePoint Now, const Catalog &ActiveCatalog) {
+  this->removeExpired(Now);
   this->updateLostEngines(Now);
   this->logFleet(Now);
   for (EngineOrder &Order : this->Planner.plan(Now, ActiveCatalog))
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -32,6 +32,10 @@
   /// Records a report. \returns whether it was new.
   bool recordReport(TimePoint ReceivedAt, EngineReport Report);
   bool recordLeave(const EndpointName &Id);
+  void setEnds(EndpointEnds Ends) { this->Engines.setEnds(std::move(Ends)); }
+  /// Removes endpoints without reports and what is known of them. Also on hosts
+  /// that don't lead.
+  void removeExpired(TimePoint Now);
   /// Records the load of an entry host and the state of each target as seen
   /// from there. \returns whether a target is stalled or its limit changed; the
   /// caller should then run the next step at once.
--- a/Libraries/LibFormation/EngineRegistry.cpp
+++ b/Libraries/LibFormation/EngineRegistry.cpp
@@ -34,7 +34,9 @@
   bool SameIncarnation =
       !IsNew && Report.StartedAtMs == Record.Report.StartedAtMs;
   // Leaving is final within an incarnation.
-  Report.Leaving = Report.Leaving || (SameIncarnation && Record.Report.Leaving);
+  Report.Leaving = Report.Leaving ||
+                   (SameIncarnation && Record.Report.Leaving) ||
+                   this->Ends.covers(Report.Id, Report.StartedAtMs);
   Record.Changed = Record.Changed || IsNew || hasChanged(Record.Report, Report);
   if (!SameIncarnation)
     Record.FirstReportAt = ReceivedAt;
@@ -68,6 +70,13 @@
   return true;
 }
 
+void EngineRegistry::setEnds(EndpointEnds NewEnds) {
+  this->Ends = std::move(NewEnds);
+  for (const auto &[Id, Record] : this->Records)
+    if (this->Ends.covers(Id, Record.Report.StartedAtMs))
+      this->leave(Id);
+}
+
 void EngineRegistry::expire(TimePoint Limit, TimePoint LeavingLimit) {
   this->Revision += std::erase_if(this->Records, [&](const auto &Entry) {
     const EngineRecord &Record = Entry.second;
--- a/Libraries/LibFormation/EngineRegistry.h
+++ b/Libraries/LibFormation/EngineRegistry.h
@@ -10,6 +10,7 @@
 #ifndef LIBFORMATION_ENGINEREGISTRY_H
 #define LIBFORMATION_ENGINEREGISTRY_H
 
+#include <LibFormation/EndpointEnds.h>
 #include <LibFormation/EngineReport.h>
 #include <map>
 
@@ -40,6 +41,11 @@
   /// registered.
   bool leave(const EndpointName &Id);
 
+  /// Sets the ends that the control hosts agreed on. A report of a life that
+  /// has ended is recorded as leaving, whenever it arrives.
+  void setEnds(EndpointEnds NewEnds);
+  [[nodiscard]] const EndpointEnds &ends() const { return this->Ends; }
+
   /// Removes endpoints whose last report is older than \p Limit, and leaving
   /// endpoints whose last report is older than \p LeavingLimit.
   void expire(TimePoint Limit, TimePoint LeavingLimit);
@@ -57,6 +63,7 @@
   void removePredecessors(const EngineReport &Successor);
 
   std::map<EndpointName, EngineRecord> Records;
+  EndpointEnds Ends;
   std::uint64_t Revision = 0;
 };
 
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -50,6 +50,7 @@
       {"change", {"version", "failure_domain", "emptied", "outcome"}},
       {"catalog-refused", {"findings"}},
       {"report-refused", {"endpoint", "findings"}},
+      {"endpoint-ended", {"endpoint", "started_until_ms", "committed"}},
       {"engine-lost", {"endpoint", "group", "heard_ms_ago"}},
       {"engine-found", {"endpoint", "group", "heard_ms_ago"}},
       {"order", {"endpoint", "verb", "group", "epoch", "status", "answer"}},
--- a/Tests/LibCatalog/TestCatalog.cpp
+++ b/Tests/LibCatalog/TestCatalog.cpp
@@ -153,6 +153,48 @@
   EXPECT_EQ(Machine.state().version(), 0U);
 }
 
+/// \returns a command that ends the lives of \p Id until \p StartedUntilMs.
+static std::string endCommand(const std::string &Id,
+                              std::int64_t StartedUntilMs) {
+  message::RegisterCommand Command;
+  message::EndedEndpointMessage &End = *Command.add_ended_endpoints();
+  End.set_id(Id);
+  End.set_started_until_ms(StartedUntilMs);
+  return Command.SerializeAsString();
+}
+
+// Guards against an end that the next leader, or all control hosts after a
+// restart, don't know of.
+TEST(ControlStateMachine, EndsOfEndpointsAreKeptInTheSnapshot) {
+  int Changes = 0;
+  ControlStateMachine Machine(
+      [&](const message::RegisterState &) { ++Changes; });
+  Machine.apply(1, 1000, endCommand("e", 20));
+  Machine.apply(2, 2000, endCommand("e", 20));
+  EXPECT_EQ(Changes, 1);
+  Machine.apply(3, 3000, endCommand("e", 30));
+  // Hosts of earlier builds don't count these commands.
+  EXPECT_EQ(Machine.state().revision(), 0U);
+  ControlStateMachine Restored([](const message::RegisterState &) {});
+  Restored.restore(Machine.snapshot());
+  ASSERT_EQ(Restored.state().ended_endpoints_size(), 1);
+  EXPECT_EQ(Restored.state().ended_endpoints(0).started_until_ms(), 30);
+}
+
+TEST(ControlStateMachine, EndsOfEndpointsAreForgottenOnceNoReportIsLeft) {
+  ControlStateMachine Machine([](const message::RegisterState &) {});
+  Machine.apply(1, 1000, endCommand("first", 20));
+  Machine.apply(2, 1000 + EndedEndpointTimeMs, endCommand("second", 20));
+  EXPECT_EQ(Machine.state().ended_endpoints_size(), 2);
+  Machine.apply(3, 1001 + EndedEndpointTimeMs, endCommand("third", 20));
+  ASSERT_EQ(Machine.state().ended_endpoints_size(), 2);
+  EXPECT_EQ(Machine.state().ended_endpoints(0).id(), "second");
+  for (int I = 0; I < MaxEndedEndpoints + 10; ++I)
+    Machine.apply(4, 1002 + EndedEndpointTimeMs,
+                  endCommand("e" + std::to_string(I), 1));
+  EXPECT_EQ(Machine.state().ended_endpoints_size(), MaxEndedEndpoints);
+}
+
 TEST(ControlStateMachine, SnapshotContainsTheWholeState) {
   ControlStateMachine Machine([](const message::RegisterState &) {});
   Machine.apply(1, 0, catalogCommand(5, "five"));
--- a/Tests/LibFormation/TestEngineRegistry.cpp
+++ b/Tests/LibFormation/TestEngineRegistry.cpp
@@ -59,3 +59,24 @@
   EXPECT_NE(Registry.find("stays"), nullptr);
   EXPECT_EQ(Registry.find("leaves"), nullptr);
 }
+
+// Guards against an endpoint that ended and is used again because a host that
+// had not heard of it gets a delayed report.
+TEST(EngineRegistry, EndedLifeIsLeavingWheneverItsReportsArrive) {
+  EngineRegistry Registry;
+  Registry.accept(TimePoint(), report("known", "a:1", 10, 1));
+  std::uint64_t Revision = Registry.revision();
+  EndpointEnds Ends;
+  Ends.record("known", 10);
+  Ends.record("unknown", 10);
+  Registry.setEnds(Ends);
+  EXPECT_TRUE(Registry.find("known")->Report.Leaving);
+  EXPECT_GT(Registry.revision(), Revision);
+  Registry.accept(TimePoint(), report("unknown", "a:2", 10, 1));
+  EXPECT_TRUE(Registry.find("unknown")->Report.Leaving);
+  // The next lives, under the same name and at the same address.
+  Registry.accept(TimePoint(), report("known", "a:1", 11, 1));
+  Registry.accept(TimePoint(), report("other", "a:2", 12, 1));
+  EXPECT_FALSE(Registry.find("known")->Report.Leaving);
+  EXPECT_FALSE(Registry.find("other")->Report.Leaving);
+}
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -233,6 +233,37 @@
 
 namespace {
 
+/// A plain endpoint announces its end and goes on to serve for a while.
+class EndedEndpoint : public PlatformProcesses {
+protected:
+  void SetUp() override {
+    PlatformProcesses::SetUp();
+    EndpointSimulator &Endpoints = this->Deployment.endpoints();
+    while (!Endpoints.name(this->Ended).starts_with("plain-"))
+      ++this->Ended;
+    this->Caller.start(Callers, Pause);
+    this->sleep(seconds(1));
+  }
+  void announceEnd(std::size_t Host) {
+    EXPECT_EQ(this->Deployment.announceEnd(
+                  Host, this->Deployment.endpoints().name(this->Ended)),
+              200U);
+  }
+  /// Checks that the endpoint gets nothing from now on, while calls go on.
+  void verifyEnd() {
+    EndpointSimulator &Endpoints = this->Deployment.endpoints();
+    unsigned Before = Endpoints.arrivals(this->Ended);
+    this->sleep(seconds(4));
+    this->Caller.stop();
+    EXPECT_EQ(Endpoints.arrivals(this->Ended), Before);
+    EXPECT_EQ(this->Caller.callOnce(3, CallKind::Get), CallEnd::Answered);
+    this->verifyRun();
+  }
+
+  static constexpr auto DrainTime = seconds(2);
+  std::size_t Ended = 0;
+};
+
 /// Three control hosts, and up to two without a vote that start later.
 class ReplacedControlHost : public testing::Test {
 protected:
@@ -283,6 +314,44 @@
 
 } // namespace
 
+// Guards against an endpoint that is used again because the leader alone knew
+// that it had announced its end.
+TEST_F(EndedEndpoint, GetsNothingNewOnceTheLeaderHasEnded) {
+  std::size_t Leader = this->Deployment.findLeader();
+  this->Deployment.endpoints().stopReports(this->Ended);
+  this->sleep(std::chrono::milliseconds(500));
+  this->announceEnd(Leader);
+  this->Deployment.process(Leader).signal(SIGKILL);
+  this->sleep(DrainTime);
+  this->verifyEnd();
+}
+
+TEST_F(EndedEndpoint, GetsNothingNewOnceAnotherHostThatTookItsCallHasEnded) {
+  std::size_t Other = (this->Deployment.findLeader() + 1) % 3;
+  this->Deployment.endpoints().stopReports(this->Ended);
+  this->sleep(std::chrono::milliseconds(500));
+  this->announceEnd(Other);
+  this->Deployment.process(Other).signal(SIGKILL);
+  this->Deployment.process(this->Deployment.findLeader()).signal(SIGTERM);
+  this->sleep(DrainTime);
+  this->Deployment.startHost(Other);
+  EXPECT_LT(this->Deployment.findLeader(), 3U);
+  this->sleep(DrainTime);
+  this->verifyEnd();
+}
+
+// The heartbeats of its life go on, as delayed ones do.
+TEST_F(EndedEndpoint, GetsNothingNewOnceAllControlHostsWereKilled) {
+  this->announceEnd(0);
+  for (std::size_t Host = 0; Host < 3; ++Host)
+    this->Deployment.process(Host).signal(SIGKILL);
+  for (std::size_t Host = 0; Host < 3; ++Host)
+    this->Deployment.startHost(Host);
+  EXPECT_LT(this->Deployment.findLeader(), 3U);
+  this->sleep(DrainTime);
+  this->verifyEnd();
+}
+
 // Guards against a majority that is lost for good: a control host is replaced
 // as planned, then another one loses its disk.
 TEST_F(ReplacedControlHost, LeavesAMajorityWhenAnotherHostThenLosesItsDisk) {
--- a/Tests/PlatformWorld/EndpointSimulator.cpp
+++ b/Tests/PlatformWorld/EndpointSimulator.cpp
@@ -130,6 +130,18 @@
       [&](const EndpointAndHost &Pair) { return Pair.first == Name; });
 }
 
+void EndpointSimulator::stopReports(std::size_t Index) {
+  this->call(Index, &PlatformEndpoint::stopReports);
+}
+
+unsigned EndpointSimulator::arrivals(std::size_t Index) const {
+  return this->Endpoints.at(Index)->arrivals();
+}
+
+const EndpointName &EndpointSimulator::name(std::size_t Index) const {
+  return this->Endpoints.at(Index)->id();
+}
+
 void EndpointSimulator::leaveInAnswersOnly(std::size_t Index) {
   this->call(Index, &PlatformEndpoint::leaveInAnswersOnly);
 }
--- a/Tests/PlatformWorld/EndpointSimulator.h
+++ b/Tests/PlatformWorld/EndpointSimulator.h
@@ -96,6 +96,11 @@
   /// Requests that such endpoints got from a host later than \p Grace after
   /// that host had received such an answer.
   [[nodiscard]] std::size_t arrivalsAfterLeaving(Duration Grace) const;
+  /// From now on endpoint \p Index sends no heartbeats, but goes on to serve.
+  void stopReports(std::size_t Index);
+  /// Requests that endpoint \p Index has received so far.
+  [[nodiscard]] unsigned arrivals(std::size_t Index) const;
+  [[nodiscard]] const EndpointName &name(std::size_t Index) const;
   /// From now on an engine crashes when it begins to write an answer to a
   /// prompt with \p Part ("ID", hexadecimal), and restarts after a while.
   void setCrashingPart(std::string Part);
--- a/Tests/PlatformWorld/PlatformDeployment.cpp
+++ b/Tests/PlatformWorld/PlatformDeployment.cpp
@@ -372,6 +372,34 @@
   return std::nullopt;
 }
 
+std::size_t PlatformDeployment::findLeader() const {
+  std::size_t Leader = 0;
+  waitFor("a control host leads", [&] {
+    for (Leader = 0; Leader < this->Plan.ControlHosts; ++Leader) {
+      HttpCallOptions Options{.ConnectTimeout = CallTimeout,
+                              .HeadTimeout = CallTimeout};
+      HttpFetchResult Answer =
+          blockingFetch(this->controlAddress(Leader),
+                        {.Method = "GET", .Target = "/config"}, Options);
+      if (Answer.Outcome == HttpCallOutcome::Complete &&
+          Answer.Head.Status == 200)
+        return true;
+    }
+    return false;
+  });
+  return Leader;
+}
+
+unsigned PlatformDeployment::announceEnd(std::size_t Host,
+                                         const EndpointName &Name) const {
+  HttpCallOptions Options{.ConnectTimeout = CallTimeout,
+                          .HeadTimeout = CallTimeout};
+  HttpFetchResult Answer = blockingFetch(
+      this->controlAddress(Host),
+      {.Method = "DELETE", .Target = "/instances/" + Name}, Options);
+  return Answer.Outcome == HttpCallOutcome::Complete ? Answer.Head.Status : 0;
+}
+
 std::vector<std::filesystem::path> PlatformDeployment::logs() const {
   std::vector<std::filesystem::path> Paths;
   for (const Host &Each : this->Hosts)
--- a/Tests/PlatformWorld/PlatformDeployment.h
+++ b/Tests/PlatformWorld/PlatformDeployment.h
@@ -77,6 +77,13 @@
   /// Sends catalog \p Version until it is acknowledged.
   /// \returns false if it was not acknowledged within \p Limit.
   bool putCatalog(unsigned Version, Duration Limit = std::chrono::seconds(20));
+  /// Returns the control host that answers reads of the catalog itself.
+  /// \throws std::runtime_error if none does in time.
+  [[nodiscard]] std::size_t findLeader() const;
+  /// Announces the end of an endpoint at control host \p Host, as the endpoint
+  /// does. \returns the status of the answer; 0 if there is none.
+  [[nodiscard]] unsigned announceEnd(std::size_t Host,
+                                     const EndpointName &Name) const;
   /// Returns the version of the catalog that a control host returns; empty if
   /// none gives a complete answer.
   std::optional<unsigned> readVersion() const;
--- a/Tests/PlatformWorld/PlatformEndpoint.cpp
+++ b/Tests/PlatformWorld/PlatformEndpoint.cpp
@@ -185,7 +185,7 @@
 asio::awaitable<void> PlatformEndpoint::reportLoop() {
   while (true) {
     this->Changed.reset();
-    if (this->IsRunning)
+    if (this->IsRunning && !this->IsSilent)
       co_await this->reportOnce();
     co_await this->Changed.wait(this->Endpoints.Options.ReportInterval);
   }
@@ -346,6 +346,7 @@
     Response.Headers.add("X-Carobhinge-Instance-Id", this->Id);
     co_return co_await Exchange.respond(std::move(Response));
   }
+  ++this->Arrivals;
   // API keys are secrets of the callers; the system must not forward them.
   if (Request.Headers.count(platform::KeyField) > 0)
     this->Endpoints.Executions.reportViolation(
--- a/Tests/PlatformWorld/PlatformEndpoint.h
+++ b/Tests/PlatformWorld/PlatformEndpoint.h
@@ -31,6 +31,9 @@
   void drain();
   [[nodiscard]] const EndpointName &id() const { return this->Id; }
   void leaveInAnswersOnly() { this->LeavesInAnswers = true; }
+  void stopReports() { this->IsSilent = true; }
+  /// Requests that arrived, but for health checks and orders.
+  [[nodiscard]] unsigned arrivals() const { return this->Arrivals; }
   void setPace(double Factor) {
     this->Pace = Factor;
     if (this->Model)
@@ -101,6 +104,9 @@
   bool IsDraining = false;
   /// Says that it leaves in its answers, but not in its heartbeats.
   bool LeavesInAnswers = false;
+  /// Sends no heartbeats.
+  bool IsSilent = false;
+  std::atomic<unsigned> Arrivals = 0;
   std::int64_t StartedAtMs;
   std::uint64_t Sequence = 0;
   int Active = 0;
