LibEntry: Decide on requests by no older catalog than the one that admitted them

Cause: what is handed on named no version of the catalog, and a host refused for good by a confirmation from before its suspension.

Evidence: the log of the two hosts ("no route", catalog_version 1, confirmation_age_ms 3944; "the peer answered 404", catalog_version 2).

Change: the version goes with the request and with the answer handed back, in a field between entry hosts. A host with an older catalog answers that nothing has run; one that sees a newer catalog at a peer decides nothing by its own. 404 and 401 need a confirmation younger than half of the lease. The decision stands in Admission.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -102,23 +102,22 @@
       this->TargetService, this->CallerRequest.Model);
   std::optional<Duration> Age = this->Context.State.Lease.age(monotonicNow());
   bool IsAnswered = Outcome == "answered";
-  logEvent(IsAnswered ? Severity::Info : Severity::Warning, "request",
-           {{"request", this->CallerRequest.AttemptId},
-            {"route", RouteLabel},
-            {"workspace", WorkspaceLabel},
-            {"outcome", Outcome},
-            {"reason", Reason},
-            {"endpoint", this->LastEndpoint},
-            {"attempts", this->AttemptCount},
-            {"model", this->CallerRequest.Model},
-            {"prompt_parts", formatPromptParts(this->Suspects)},
-            {"in_flight", Load.InFlight},
-            {"slots", Load.Slots},
-            {"catalog_version",
-             static_cast<std::int64_t>(
-                 this->Routes ? this->Routes->catalog().Version : 0)},
-            {"confirmation_age_ms", Age ? milliseconds(*Age) : -1},
-            {"took_ms", milliseconds(monotonicNow() - this->ArrivedAt)}});
+  logEvent(
+      IsAnswered ? Severity::Info : Severity::Warning, "request",
+      {{"request", this->CallerRequest.AttemptId},
+       {"route", RouteLabel},
+       {"workspace", WorkspaceLabel},
+       {"outcome", Outcome},
+       {"reason", Reason},
+       {"endpoint", this->LastEndpoint},
+       {"attempts", this->AttemptCount},
+       {"model", this->CallerRequest.Model},
+       {"prompt_parts", formatPromptParts(this->Suspects)},
+       {"in_flight", Load.InFlight},
+       {"slots", Load.Slots},
+       {"catalog_version", static_cast<std::int64_t>(this->catalogVersion())},
+       {"confirmation_age_ms", Age ? milliseconds(*Age) : -1},
+       {"took_ms", milliseconds(monotonicNow() - this->ArrivedAt)}});
 }
 
 asio::awaitable<void>
@@ -127,9 +126,15 @@
   this->recordOutcome("refused", Reason);
   HttpResponse Refusal = this->Context.Protocol.makeRefusal(
       Status, Reason, this->CallerRequest.AttemptId, RetryAfter);
+  this->addCatalogVersion(Refusal.Headers);
   co_await this->Exchange.respond(std::move(Refusal));
 }
 
+void CallerSession::addCatalogVersion(HttpHeaders &Fields) const {
+  if (this->IsForwarded)
+    this->Context.Protocol.addCatalogVersion(Fields, this->catalogVersion());
+}
+
 asio::awaitable<void> CallerSession::refusePrompt(const PromptParts &Parts) {
   // The status says that the request itself is at fault, so that callers do not
   // come back with it.
@@ -183,38 +188,56 @@
   return true;
 }
 
+AdmissionFacts CallerSession::findAdmissionFacts() {
+  const EntryState &State = this->Context.State;
+  AdmissionFacts Facts{.CatalogVersion = {},
+                       .RequiredVersion = State.PeerCatalogVersion,
+                       .IsStateConfirmed = State.Lease.isValid(this->ArrivedAt),
+                       .IsConfirmationFresh =
+                           State.Lease.isFresh(this->ArrivedAt)};
+  if (this->IsForwarded)
+    Facts.RequiredVersion =
+        std::max(Facts.RequiredVersion, this->CallerRequest.AdmittedVersion);
+  if (!this->Routes)
+    return Facts;
+  Facts.CatalogVersion = this->catalogVersion();
+  this->MatchedRoute = this->Routes->find(this->CallerRequest.Host,
+                                          this->Exchange.request().path());
+  Facts.HasRoute = this->MatchedRoute != nullptr;
+  Facts.RequiresKey = this->Routes->requiresKeys() && Facts.HasRoute &&
+                      !this->MatchedRoute->Public;
+  if (Facts.RequiresKey)
+    this->CallerWorkspace =
+        this->Routes->findWorkspace(this->CallerRequest.Key);
+  Facts.HasKnownKey = this->CallerWorkspace != nullptr;
+  return Facts;
+}
+
 asio::awaitable<bool> CallerSession::admit() {
-  EntryState &State = this->Context.State;
-  // Without a valid confirmation the catalog may be out of date, so a missing
-  // route or key is no proof that the request is wrong.
-  bool IsStateConfirmed = this->Routes && State.Lease.isValid(this->ArrivedAt);
-  if (!this->Routes) {
+  AdmissionFacts Facts = this->findAdmissionFacts();
+  switch (decideAdmission(Facts)) {
+  case Admission::Admitted:
+    break;
+  case Admission::NoCatalog:
     co_await this->refuse(503, "no catalog is known yet",
                           this->returnTime(RefusalCause::NoState));
     co_return false;
-  }
-  this->MatchedRoute = this->Routes->find(this->CallerRequest.Host,
-                                          this->Exchange.request().path());
-  if (this->MatchedRoute == nullptr) {
-    if (IsStateConfirmed)
-      co_await this->refuse(404, "no route", std::nullopt);
-    else
-      co_await this->refuse(503, "no route",
-                            this->returnTime(RefusalCause::StateUnconfirmed));
+  case Admission::CatalogOutdated:
+    co_await this->refuse(503, "the catalog is out of date",
+                          this->returnTime(RefusalCause::StateUnconfirmed));
+    co_return false;
+  case Admission::StateUnconfirmed:
+    co_await this->refuse(503,
+                          Facts.HasRoute ? "keys are not confirmed"
+                                         : "no route, not confirmed",
+                          this->returnTime(RefusalCause::StateUnconfirmed));
+    co_return false;
+  case Admission::UnknownRoute:
+    co_await this->refuse(404, "no route", std::nullopt);
+    co_return false;
+  case Admission::UnknownKey:
+    co_await this->refuse(401, "unknown key", std::nullopt);
     co_return false;
-  }
-  if (this->Routes->requiresKeys() && !this->MatchedRoute->Public) {
-    this->CallerWorkspace =
-        this->Routes->findWorkspace(this->CallerRequest.Key);
-    if (!IsStateConfirmed) {
-      co_await this->refuse(503, "keys are not confirmed",
-                            this->returnTime(RefusalCause::StateUnconfirmed));
-      co_return false;
-    }
-    if (this->CallerWorkspace == nullptr) {
-      co_await this->refuse(401, "unknown key", std::nullopt);
-      co_return false;
-    }
   }
   this->TargetService =
       RouteTable::chooseService(*this->MatchedRoute, randomFraction());
@@ -405,7 +428,8 @@
   this->CurrentAttempt = 0;
   DispatchMetadata Metadata{.RemainingTime = this->remainingTime(),
                             .ResumeAfter = this->Relay.lastId(),
-                            .PossibleRuns = this->PossibleRuns};
+                            .PossibleRuns = this->PossibleRuns,
+                            .AdmittedVersion = this->catalogVersion()};
   HttpRequest Request = this->Context.Protocol.makePeerRequest(
       this->Exchange.request(), Metadata);
   std::string Address =
@@ -431,13 +455,26 @@
   bool IsComplete = End == HttpCallOutcome::Complete && this->HasAnswerHead &&
                     !this->IsUnusable && !this->Relay.hasGap();
   unsigned Status = this->AnswerHttpHead.Status;
+  bool IsOutdated =
+      IsComplete &&
+      isRefusedByOlderCatalog(
+          {.Status = Status,
+           .IsSigned = this->AnswerMetadata.Signed,
+           .CatalogVersion = this->AnswerMetadata.PeerCatalogVersion},
+          this->catalogVersion());
   // The peer says that the request has not run there.
-  bool IsRefused = IsComplete && (Status == 429 || Status == 503);
+  bool IsRefused =
+      IsOutdated || (IsComplete && (Status == 429 || Status == 503));
   // The peer may have lost its engines too, or have no room.
   if (IsRefused && this->TriedPeers.size() < MaxPeers)
     co_return NextStep::Retry;
   if (IsRefused && this->MayHaveRun)
     co_return NextStep::GiveUp;
+  if (IsOutdated) {
+    co_await this->refuse(503, "the other entry hosts have an older catalog",
+                          this->returnTime(RefusalCause::StateUnconfirmed));
+    co_return NextStep::Finished;
+  }
   this->MayHaveRun = this->MayHaveRun || !IsRefused;
   if (!this->completesAnswer(IsComplete))
     co_return NextStep::GiveUp;
@@ -716,6 +753,10 @@
   this->AnswerMetadata = this->Context.Protocol.readAnswer(Head);
   if (this->CurrentAttempt != 0)
     this->contact().recordReached();
+  else
+    this->Context.State.PeerCatalogVersion =
+        std::max(this->Context.State.PeerCatalogVersion,
+                 this->AnswerMetadata.PeerCatalogVersion);
   this->Context.State.Crashes.recordProgress(monotonicNow(),
                                              this->CurrentAttempt);
   // A request that reached another endpoint by mistake says nothing about this
@@ -769,9 +810,11 @@
 HttpResponseHead CallerSession::headForCaller() const {
   if (!this->IsForwarded)
     return this->Context.Protocol.makeCallerHead(this->AnswerHttpHead);
-  return this->Context.Protocol.makePeerHead(
+  HttpResponseHead Head = this->Context.Protocol.makePeerHead(
       this->AnswerHttpHead,
       this->AnswerMetadata.Leaving ? this->LastEndpoint : EndpointName());
+  this->addCatalogVersion(Head.Headers);
+  return Head;
 }
 
 void CallerSession::rejectAnswer() {
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -11,6 +11,7 @@
 #ifndef LIBENTRY_CALLERSESSION_H
 #define LIBENTRY_CALLERSESSION_H
 
+#include <LibEntry/Admission.h>
 #include <LibEntry/EndpointProtocol.h>
 #include <LibEntry/EntryState.h>
 #include <LibEntry/EventRelay.h>
@@ -55,6 +56,14 @@
 
   /// \returns whether the request may be served; if not, it was refused.
   boost::asio::awaitable<bool> admit();
+  /// Finds the route and the workspace of the request.
+  [[nodiscard]] AdmissionFacts findAdmissionFacts();
+  [[nodiscard]] std::uint64_t catalogVersion() const {
+    return this->Routes ? this->Routes->catalog().Version : 0;
+  }
+  /// Tells the host that handed the request on by which catalog this one has
+  /// decided.
+  void addCatalogVersion(HttpHeaders &Fields) const;
   boost::asio::awaitable<void> serve();
   boost::asio::awaitable<NextStep> runAttempt(const DispatchTarget &Target);
   boost::asio::awaitable<NextStep> finishAttempt(HttpCallOutcome End);
--- a/Libraries/LibEntry/ConfirmationLease.h
+++ b/Libraries/LibEntry/ConfirmationLease.h
@@ -53,6 +53,11 @@
     return this->RenewedAt && Now - *this->RenewedAt < this->Length;
   }
 
+  /// \returns whether at most half of the lease has passed.
+  [[nodiscard]] bool isFresh(TimePoint Now) const {
+    return this->RenewedAt && Now - *this->RenewedAt <= this->Length / 2;
+  }
+
 private:
   struct Confirmation {
     TimePoint RequestedAt;
--- a/Libraries/LibEntry/EndpointProtocol.h
+++ b/Libraries/LibEntry/EndpointProtocol.h
@@ -42,6 +42,9 @@
   /// Endpoints that may have run the request before another entry host handed
   /// it on. To be believed from entry hosts only.
   int PossibleRuns = 0;
+  /// The version of the catalog by which another entry host admitted the
+  /// request; 0 if none is named. To be believed from entry hosts only.
+  std::uint64_t AdmittedVersion = 0;
 };
 
 /// Metadata that an entry host adds to a request that it forwards.
@@ -55,6 +58,8 @@
   std::optional<std::uint64_t> ResumeAfter = {};
   /// For entry hosts: endpoints that may have run the request.
   int PossibleRuns = 0;
+  /// For entry hosts: the version of the catalog that admitted the request.
+  std::uint64_t AdmittedVersion = 0;
 };
 
 /// Metadata of an endpoint's answer.
@@ -76,6 +81,9 @@
   bool Leaving = false;
   /// The endpoint that is leaving, if another entry host hands the answer back.
   EndpointName LeavingEndpoint = {};
+  /// The version of the catalog that another entry host decided by, if that
+  /// hands the answer back; 0 if it names none.
+  std::uint64_t PeerCatalogVersion = 0;
   /// The body has a content encoding, so it isn't the endpoint's own bytes.
   bool Encoded = false;
 };
@@ -94,8 +102,8 @@
   makeEndpointRequest(const HttpRequest &Call,
                       const DispatchMetadata &Metadata) const = 0;
   /// The request to another entry host, which handles it as if its caller had
-  /// sent it there. Of \p Metadata only the time, the resumption and the
-  /// possible runs are added.
+  /// sent it there. Of \p Metadata only the time, the resumption, the possible
+  /// runs and the catalog's version are added.
   [[nodiscard]] virtual HttpRequest
   makePeerRequest(const HttpRequest &Call,
                   const DispatchMetadata &Metadata) const = 0;
@@ -109,6 +117,10 @@
   [[nodiscard]] virtual HttpResponseHead
   makePeerHead(const HttpResponseHead &Answer,
                const EndpointName &LeavingEndpoint) const = 0;
+  /// Adds to the fields of an answer for an entry host by which version of the
+  /// catalog this one has decided.
+  virtual void addCatalogVersion(HttpHeaders &Fields,
+                                 std::uint64_t Version) const = 0;
   /// An answer with which this system itself refuses the attempt \p AttemptId.
   /// \p RetryAfter: when the caller should retry, if useful.
   [[nodiscard]] virtual HttpResponse
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -68,6 +68,9 @@
   /// Entry hosts that share the retry budgets, as reported by the control
   /// hosts; at least 1.
   int EntryHostCount = 1;
+  /// The newest catalog by which another entry host is known to have decided.
+  /// This host does not decide by an older one.
+  std::uint64_t PeerCatalogVersion = 0;
   bool IsStopping = false;
 };
 
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -215,6 +215,28 @@
             0U);
 }
 
+// Guards against a request that another host decides on by an older catalog
+// than the one that admitted it, and against callers and endpoints that name
+// one.
+TEST(CallProtocol, TellsTheOtherEntryHostTheVersionOfTheCatalog) {
+  HttpRequest Call{.Method = "GET", .Target = "/p/1"};
+  Call.Headers.add(CatalogVersionField, "99");
+  CallProtocol Protocol;
+  HttpRequest HandedOn = Protocol.makePeerRequest(Call, {.AdmittedVersion = 7});
+  EXPECT_EQ(HandedOn.Headers.count(CatalogVersionField), 1U);
+  EXPECT_EQ(Protocol.readCall(HandedOn).AdmittedVersion, 7U);
+  EXPECT_EQ(Protocol.makeEndpointRequest(HandedOn, {})
+                .Headers.count(CatalogVersionField),
+            0U);
+  HttpResponseHead Answer{.Status = 200};
+  Answer.Headers.add(CatalogVersionField, "99");
+  EXPECT_EQ(Protocol.makeCallerHead(Answer).Headers.count(CatalogVersionField),
+            0U);
+  HttpResponseHead HandedBack = Protocol.makePeerHead(Answer, "");
+  Protocol.addCatalogVersion(HandedBack.Headers, 7);
+  EXPECT_EQ(Protocol.readAnswer(HandedBack).PeerCatalogVersion, 7U);
+}
+
 // Guards against requests to an endpoint that leaves, from a host that has
 // passed its answer on for another host.
 TEST(CallProtocol, TellsTheOtherEntryHostWhichEndpointLeaves) {
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -14,6 +14,7 @@
 #include <PlatformWorld/PlatformVerifyingCaller.h>
 #include <csignal>
 #include <fstream>
+#include <future>
 #include <gtest/gtest.h>
 #include <platform/WireNames.h>
 
@@ -416,6 +417,42 @@
   this->verifyRun();
 }
 
+// Guards against callers that are refused for good by an older catalog than
+// their host has: it hands their requests on to hosts that were suspended.
+TEST_F(PlatformProcesses, SuspendedPeerRefusesNothingByItsOlderCatalog) {
+  for (std::size_t Peer : {4U, 5U})
+    this->Deployment.process(Peer).signal(SIGSTOP);
+  ASSERT_TRUE(this->Deployment.putCatalog(2));
+  this->sleep(std::chrono::milliseconds(1500));
+  this->Deployment.setEndpointLinks(3, LinkMode::Cut);
+  this->sleep(std::chrono::milliseconds(500));
+  std::vector<std::future<unsigned>> Statuses;
+  for (int I = 0; I < 8; ++I)
+    Statuses.push_back(std::async(std::launch::async, [this, I] {
+      HttpRequest Request{.Method = "GET",
+                          .Target = "/v2/" + std::to_string(I)};
+      Request.Headers.add("Host", "callers.example");
+      Request.Headers.add(platform::AttemptIdField,
+                          "suspended-" + std::to_string(I));
+      Request.Headers.add(platform::KeyField, this->Deployment.key());
+      Request.Headers.add(platform::DeadlineField, "2800");
+      return blockingFetch(this->Deployment.callerAddress(3),
+                           std::move(Request))
+          .Head.Status;
+    }));
+  this->sleep(std::chrono::milliseconds(1900));
+  for (std::size_t Peer : {4U, 5U})
+    this->Deployment.process(Peer).signal(SIGCONT);
+  std::vector<unsigned> Results;
+  for (auto &Status : Statuses)
+    Results.push_back(Status.get());
+  EXPECT_EQ(std::ranges::count(Results, 404U), 0);
+  this->Deployment.setEndpointLinks(3, LinkMode::Pass);
+  PlatformDeployment::waitFor("calls are answered again", [this] {
+    return this->Caller.callOnce(3, CallKind::Get) == CallEnd::Answered;
+  });
+}
+
 // Guards against an answer without end that fills an entry host's memory, and
 // against its beginning being passed on as the whole answer.
 TEST_F(PlatformProcesses, AnswerWithoutEndIsRejectedAndClosed) {
