LibHTTP: Answer an unreadable request on a kept connection

Cause: readRequest() answers what it can't read by respond(), which asserts that no answer has begun; only handle() reset that state.

Evidence: the new test UnreadableRequestOnAKeptConnectionEndsThatConnectionOnly ended with that assertion on the old code.

Change: the state is reset where the next request begins to be read.

--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -169,6 +169,9 @@
 
 /// Reads one request. Returns false if the connection must be closed.
 asio::awaitable<bool> Connection::readRequest() {
+  // A request that can't be read is answered too.
+  this->ResponseComplete = false;
+  this->ResponseStarted = false;
   http::request_parser<http::string_body> Parser;
   Parser.header_limit(static_cast<std::uint32_t>(this->Options.HeaderBytes));
   Parser.body_limit(this->Options.BodyBytes);
@@ -229,8 +232,6 @@
 
 /// Runs the handler while monitoring whether the caller disconnects.
 asio::awaitable<void> Connection::handle() {
-  this->ResponseComplete = false;
-  this->ResponseStarted = false;
   this->Stream.expires_never();
   asio::co_spawn(
       this->Stream.get_executor(),
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -171,6 +171,40 @@
         << Case.Bytes.substr(0, 80);
 }
 
+// Guards against a process that ends because a request on a kept connection
+// breaks off, or can't be read, after another one was answered.
+TEST_F(Http, UnreadableRequestOnAKeptConnectionEndsThatConnectionOnly) {
+  const std::string Answered = "POST /echo HTTP/1.1\r\nContent-Length: 1\r\n"
+                               "\r\na";
+  const std::string Whole = "GET /echo HTTP/1.1\r\nX: y\r\n\r\n";
+  std::vector<std::string> Unreadable = {
+      "POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+      "POST /echo HTTP/1.1\r\nContent-Length: 1000\r\n\r\na",
+      "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n",
+      "no request\r\n\r\n"};
+  for (std::size_t Length = 1; Length < Whole.size(); ++Length)
+    Unreadable.push_back(Whole.substr(0, Length));
+  for (const std::string &Bytes : Unreadable) {
+    asio::ip::tcp::socket Socket(this->Context);
+    Socket.connect(parseAddress(this->Server.address()));
+    asio::write(Socket, asio::buffer(Answered));
+    std::string Response;
+    bool IsAnswered = false;
+    asio::async_read_until(Socket, asio::dynamic_buffer(Response), "\r\n\r\na",
+                           [&](auto, auto) { IsAnswered = true; });
+    this->runUntil([&] { return IsAnswered; });
+    asio::write(Socket, asio::buffer(Bytes));
+    bool Closed = false;
+    asio::async_read(Socket, asio::dynamic_buffer(Response),
+                     [&Closed](auto, auto) { Closed = true; });
+    Socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    this->runUntil([&Closed] { return Closed; });
+  }
+  HttpFetchResult Response =
+      this->fetch({.Method = "POST", .Target = "/echo", .Body = "abc"});
+  EXPECT_EQ(Response.Body, "abc");
+}
+
 TEST_F(Http, StoppingClosesIdleConnectionsAndCompletesActiveRequests) {
   auto Open = [this](std::string_view Bytes, std::string &Response,
                      bool &Closed) {
