LibHTTP: Monitor one request of a connection at a time

Cause: the coroutine that watches whether the caller leaves was told to stop by a cancellation signal, and the next request bound the same slot before it had.

Evidence: the new test RequestsSentAtOnceAreAnsweredInOrder on the old code: heap-use-after-free under AddressSanitizer.

Change: the server waits until the watch of a request has ended; there is no cancellation slot any more. The test passes in Release and under AddressSanitizer.

--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -11,8 +11,6 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -91,7 +89,9 @@
              const HttpHandler &Handler, std::atomic<bool> &Stopping,
              std::atomic<bool> &Draining, std::atomic<std::size_t> &Active)
       : Stream(std::move(Stream)), Options(Options), Handler(Handler),
-        Stopping(Stopping), Draining(Draining), Active(Active) {}
+        Stopping(Stopping), Draining(Draining), Active(Active),
+        MonitorEnded(this->Stream.get_executor(),
+                     asio::steady_timer::time_point::max()) {}
 
   asio::awaitable<void> serve();
 
@@ -125,6 +125,9 @@
   asio::awaitable<void> refuse(unsigned Status, std::string_view Title);
   asio::awaitable<void> handle();
   asio::awaitable<void> monitorCaller();
+  /// Ends monitorCaller() and waits until it has returned: the next request may
+  /// have arrived already, and is monitored by itself.
+  asio::awaitable<void> stopMonitoring();
   asio::awaitable<void> awaitFirstByte();
 
   beast::tcp_stream Stream;
@@ -147,7 +150,11 @@
   bool ResponseComplete = false;
   bool ResponseStarted = false;
   std::function<void()> OnDisconnect;
-  asio::cancellation_signal StopMonitoring;
+  /// monitorCaller() has been started and has not returned.
+  bool IsMonitoring = false;
+  bool IsMonitorStopped = false;
+  /// Never expires; cancelled when monitorCaller() returns.
+  asio::steady_timer MonitorEnded;
 };
 
 asio::awaitable<void> Connection::serve() {
@@ -233,11 +240,16 @@
 /// Runs the handler while monitoring whether the caller disconnects.
 asio::awaitable<void> Connection::handle() {
   this->Stream.expires_never();
+  this->IsMonitoring = true;
+  this->IsMonitorStopped = false;
   asio::co_spawn(
       this->Stream.get_executor(),
-      [Self = this->shared_from_this()] { return Self->monitorCaller(); },
-      asio::bind_cancellation_slot(this->StopMonitoring.slot(),
-                                   asio::detached));
+      [Self = this->shared_from_this()]() -> asio::awaitable<void> {
+        co_await Self->monitorCaller();
+        Self->IsMonitoring = false;
+        Self->MonitorEnded.cancel();
+      },
+      asio::detached);
   ++this->Active;
   try {
     co_await this->Handler(*this);
@@ -251,19 +263,29 @@
   }
   --this->Active;
   this->OnDisconnect = nullptr;
-  this->StopMonitoring.emit(asio::cancellation_type::terminal);
+  co_await this->stopMonitoring();
   if (!this->ResponseComplete && !this->ResponseStarted && !this->Disconnected)
     co_await this->refuse(500, "The request could not be handled.");
 }
 
-/// Returns when the caller closed the connection or handle() cancels it. Bytes
-/// of a pipelined request also end the monitoring, since a close after them
-/// cannot be detected.
+asio::awaitable<void> Connection::stopMonitoring() {
+  this->IsMonitorStopped = true;
+  // The handler has ended, so only monitorCaller() waits for the socket.
+  beast::error_code Ignored;
+  this->Stream.socket().cancel(Ignored);
+  while (this->IsMonitoring)
+    co_await this->MonitorEnded.async_wait(UseTuple);
+}
+
+/// Returns when the caller closed the connection or stopMonitoring() ends it.
+/// Bytes of a pipelined request also end the monitoring, since a close after
+/// them cannot be detected.
 asio::awaitable<void> Connection::monitorCaller() {
-  for (;;) {
+  while (!this->IsMonitorStopped) {
     auto [Error] = co_await this->Stream.socket().async_wait(
         tcp::socket::wait_read, UseTuple);
-    if (Error == asio::error::operation_aborted || this->ResponseComplete)
+    if (Error == asio::error::operation_aborted || this->IsMonitorStopped ||
+        this->ResponseComplete)
       co_return;
     beast::error_code PeekError;
     char Byte = 0;
@@ -272,12 +294,13 @@
     if (!PeekError)
       co_return;
     // The socket was reported ready for bytes that have already been read.
-    if (PeekError != asio::error::would_block)
-      break;
+    if (PeekError == asio::error::would_block)
+      continue;
+    this->Disconnected = true;
+    if (auto Notify = std::exchange(this->OnDisconnect, nullptr))
+      Notify();
+    co_return;
   }
-  this->Disconnected = true;
-  if (auto Notify = std::exchange(this->OnDisconnect, nullptr))
-    Notify();
 }
 
 template <class Message>
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -27,6 +27,13 @@
     co_await Exchange.respond(std::move(Response));
     co_return;
   }
+  if (Request.path() == "/later") {
+    asio::steady_timer Timer(co_await asio::this_coro::executor,
+                             std::chrono::milliseconds(1));
+    co_await Timer.async_wait(asio::use_awaitable);
+    HttpResponse Response{.Body = Request.Body};
+    co_return co_await Exchange.respond(std::move(Response));
+  }
   if (Request.path() == "/throws")
     throw std::runtime_error("handler failed");
   HttpResponseHead Head{.Status = 200};
@@ -171,6 +178,26 @@
         << Case.Bytes.substr(0, 80);
 }
 
+// Guards against a process that ends because requests on one connection arrive
+// before the one before them is answered: each is monitored by itself.
+TEST_F(Http, RequestsSentAtOnceAreAnsweredInOrder) {
+  static constexpr int Requests = 9;
+  for (std::string Path : {"/echo", "/later"})
+    for (int Round = 0; Round < 50; ++Round) {
+      std::string Sent;
+      for (int I = 1; I <= Requests; ++I)
+        Sent += "POST " + Path + " HTTP/1.1\r\nContent-Length: 1\r\n" +
+                (I == Requests ? "Connection: close\r\n" : "") + "\r\n" +
+                std::to_string(I);
+      std::string Response = this->exchangeRaw(Sent);
+      std::string Bodies;
+      for (std::size_t At = 0;
+           (At = Response.find("\r\n\r\n", At)) != std::string::npos; At += 4)
+        Bodies += Response.at(At + 4);
+      EXPECT_EQ(Bodies, "123456789") << Path;
+    }
+}
+
 // Guards against a process that ends because a request on a kept connection
 // breaks off, or can't be read, after another one was answered.
 TEST_F(Http, UnreadableRequestOnAKeptConnectionEndsThatConnectionOnly) {
