LibEntry: Give up a silent stream only if it can be repeated at once

Cause: an attempt was given up after fixed times without an event (0.45 s, 0.7 s before the first), before it was known whether it may be repeated: the attempts of the route, the retry budget or the places were often used up.

Change: StallRule. Silence counts as a stall only beyond three times what is usual at the other groups of the model, and only if most of those go on; what is stalled, also by the leader's word, is given up only once the route, the budget and another place allow the repeat. Any other stream waits for its engine. The log tells a deadline ("out of time") from an attempt that failed.

Result: SlowEngines: what ends without an answer does so at its deadline.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -1,6 +1,7 @@
 //===- LibEntry/CallerSession.cpp - One request from a caller -------------===//
 
 #include <LibEntry/CallerSession.h>
+#include <LibEntry/StallRule.h>
 
 #include <LibRouting/RequestFingerprint.h>
 #include <LibTelemetry/Log.h>
@@ -306,7 +307,8 @@
     Next = co_await this->runAttempt(*Choice.Target);
   }
   if (Next == NextStep::GiveUp)
-    co_await this->endWithoutAnswer("attempt failed");
+    co_await this->endWithoutAnswer(this->DeadlinePassed ? "out of time"
+                                                         : "attempt failed");
 }
 
 EngineContact &CallerSession::contact() {
@@ -352,7 +354,39 @@
                 PauseLeft);
 }
 
+void CallerSession::abandonIfRepeatable() {
+  if (this->CallControl == nullptr || this->IsAbandoned ||
+      this->AttemptCount >= MaxAttempts)
+    return;
+  const PromptGuard &Guard = this->Context.State.Guard;
+  TimePoint Now = monotonicNow();
+  DispatchRequest Wanted{.Service = this->TargetService,
+                         .Model = this->CallerRequest.Model,
+                         .Objective = this->MatchedRoute->Objective,
+                         .ExcludedTargets = this->TriedTargets};
+  AbandonFacts Facts{
+      .IsResumable = this->MatchedRoute->Resumable,
+      .PossibleRuns = this->PossibleRuns + 1,
+      .EndpointsPerRequest = this->MatchedRoute->EndpointsPerRequest,
+      .RemainingTime = this->remainingTime(),
+      .Objective = this->MatchedRoute->Objective,
+      .HasOtherTarget =
+          this->Context.State.RequestDispatcher.hasTarget(Now, Wanted),
+      .IsPromptSound = Guard.mayRetry(this->Suspects) &&
+                       Guard.findRefusal(this->Suspects).empty() &&
+                       Guard.findHold(this->Suspects).empty()};
+  if (!canRepeatAtOnce(Facts) ||
+      !this->Context.State.retryBudget(this->TargetService)
+           .tryAcquire(Now, this->Context.State.EntryHostCount))
+    return;
+  this->IsRepeatGranted = true;
+  this->IsAbandoned = true;
+  this->CallControl->cancel();
+}
+
 bool CallerSession::canRetry() {
+  if (std::exchange(this->IsRepeatGranted, false))
+    return true;
   if (this->MayHaveRun && !this->MatchedRoute->isSafeToRetry())
     return false;
   if (this->PossibleRuns >= this->MatchedRoute->EndpointsPerRequest)
@@ -517,9 +551,7 @@
   HttpCallControl Control;
   if (IsStream && this->MatchedRoute->Resumable)
     this->Context.AbandonCallbacks[this->CurrentAttempt] = [this] {
-      this->IsAbandoned = true;
-      if (this->CallControl != nullptr)
-        this->CallControl->cancel();
+      this->abandonIfRepeatable();
     };
   std::optional<HttpCallOutcome> End =
       co_await this->perform(Target.Address, std::move(Request), Control);
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -35,7 +35,8 @@
   const EndpointProtocol &Protocol;
   HttpClient &Client;
   Metrics &ProcessMetrics;
-  /// By attempt: cancels the attempt, so that its session retries elsewhere.
+  /// By attempt at a target that may be stalled: cancels it if its session can
+  /// retry elsewhere.
   std::map<AttemptNumber, std::function<void()>> AbandonCallbacks;
 };
 
@@ -120,6 +121,9 @@
   /// \returns whether the route and the retry budget allow another attempt.
   /// Takes one retry from the budget if so.
   bool canRetry();
+  /// The target of the attempt in progress is stalled. Gives the attempt up if
+  /// the request can be repeated at once.
+  void abandonIfRepeatable();
   void handleCallerDisconnect();
   void handleDeadline();
   [[nodiscard]] Duration remainingTime() const {
@@ -154,6 +158,8 @@
   bool HasAnswerHead = false;
   AnswerUse Use = AnswerUse::Whole;
   bool IsAbandoned = false;
+  /// The retry budget has granted the attempt that follows an abandoned one.
+  bool IsRepeatGranted = false;
   /// An event or a part of the body arrived.
   bool HasContent = false;
   /// The endpoint asked for a pause, in this answer or before the request was
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -385,8 +385,59 @@
     this->Targets.erase(TargetName);
 }
 
+bool Dispatcher::hasTarget(TimePoint Now,
+                           const DispatchRequest &Request) const {
+  return std::ranges::any_of(this->Targets, [&](const auto &Each) {
+    const TargetRecord &Record = Each.second;
+    return Record.Target.Service == Request.Service &&
+           Record.Target.Model == Request.Model &&
+           this->isAvailable(Now, Record) && Now >= Record.BackOffUntil &&
+           std::ranges::find(Request.ExcludedTargets, Each.first) ==
+               Request.ExcludedTargets.end() &&
+           this->HoldOffs.mayReceive(Now, endpointOf(Record)) &&
+           !this->isFull(Record, Request.Objective);
+  });
+}
+
+std::map<DispatchTargetName, TimePoint> Dispatcher::silentSince() const {
+  std::map<DispatchTargetName, TimePoint> Since;
+  for (const auto &[Number, Current] : this->Attempts) {
+    if (!Current.IsStream)
+      continue;
+    auto [Found, IsNew] = Since.try_emplace(Current.TargetName, Current.SentAt);
+    Found->second = std::min(Found->second, Current.SentAt);
+  }
+  for (auto &[Name, Time] : Since) {
+    auto Record = this->Targets.find(Name);
+    if (Record != this->Targets.end() && Record->second.LastEventAt)
+      Time = std::max(Time, *Record->second.LastEventAt);
+  }
+  return Since;
+}
+
+OtherTargets Dispatcher::otherTargets(
+    TimePoint Now, const DispatchTargetName &Name,
+    const std::map<DispatchTargetName, TimePoint> &SilentSince,
+    double TargetRecord::*MeanMs) const {
+  OtherTargets Others;
+  const DispatchTarget &Own = this->Targets.at(Name).Target;
+  for (const auto &[Other, Since] : SilentSince) {
+    auto Record = this->Targets.find(Other);
+    if (Other == Name || Record == this->Targets.end() ||
+        Record->second.Target.Service != Own.Service ||
+        Record->second.Target.Model != Own.Model)
+      continue;
+    Others.Silences.push_back(Now - Since);
+    if (double Mean = Record->second.*MeanMs; Mean > 0)
+      Others.UsualTimes.push_back(
+          std::chrono::microseconds(static_cast<std::int64_t>(Mean * 1000)));
+  }
+  return Others;
+}
+
 std::vector<AttemptNumber> Dispatcher::findStalledAttempts(TimePoint Now) {
   std::vector<AttemptNumber> StalledAttempts;
+  std::map<DispatchTargetName, TimePoint> SilentSince = this->silentSince();
   for (const auto &[Number, Current] : this->Attempts) {
     if (!Current.IsStream)
       continue;
@@ -404,7 +455,13 @@
       Record.SuspectedSince = Now;
       this->HasNewSuspicion = true;
     }
-    if (Now - LatestEventAt >= Limit && !this->isStalled(Now, Record))
+    if (Now - LatestEventAt >= Limit && !this->isStalled(Now, Record) &&
+        isStalledBySilence(
+            Now - LatestEventAt, Limit,
+            this->otherTargets(Now, Current.TargetName, SilentSince,
+                               Current.HasStarted
+                                   ? &TargetRecord::MeanEventIntervalMs
+                                   : &TargetRecord::MeanFirstEventMs)))
       Record.StalledSince = Now;
     if (this->isStalled(Now, Record) ||
         Record.Target.Mode == DispatchTargetMode::Stalled)
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -14,6 +14,7 @@
 #include <LibCatalog/Catalog.h>
 #include <LibCore/Names.h>
 #include <LibCore/Time.h>
+#include <LibEntry/StallRule.h>
 #include <LibFormation/DispatchTargetMode.h>
 #include <LibRouting/EndpointHoldOffs.h>
 #include <LibRouting/LimitDivision.h>
@@ -58,9 +59,9 @@
 };
 
 struct DispatchOptions {
-  /// A started stream is stalled if neither it nor any other stream of the
-  /// same target receives an event for this long. One pass of a full group
-  /// takes a tenth of it.
+  /// A started stream may be stalled if neither it nor any other stream of the
+  /// same target receives an event for this long (StallRule.h). One pass of a
+  /// full group takes a tenth of it.
   Duration EventTimeout = std::chrono::milliseconds(450);
   /// After this long the target is reported to the control hosts as suspected,
   /// so that they probe the members of the group. Equals two to three passes
@@ -229,7 +230,13 @@
     return std::exchange(this->HasNewSuspicion, false);
   }
 
-  /// Attempts to abandon and retry elsewhere, because their target is stalled.
+  /// \returns whether a target other than the excluded ones could take the
+  /// request now.
+  [[nodiscard]] bool hasTarget(TimePoint Now,
+                               const DispatchRequest &Request) const;
+
+  /// Attempts whose target is stalled, to be abandoned if they can be retried
+  /// elsewhere.
   [[nodiscard]] std::vector<AttemptNumber> findStalledAttempts(TimePoint Now);
 
   struct TargetLoad {
@@ -291,6 +298,14 @@
   [[nodiscard]] bool isAvailable(TimePoint Now,
                                  const TargetRecord &Candidate) const;
   [[nodiscard]] bool isStalled(TimePoint Now, const TargetRecord &Record) const;
+  /// Since when each target has had streams in progress and has sent no event.
+  [[nodiscard]] std::map<DispatchTargetName, TimePoint> silentSince() const;
+  /// The targets of the model of \p Name but that one itself. \p MeanMs is the
+  /// average that tells the usual time.
+  [[nodiscard]] OtherTargets
+  otherTargets(TimePoint Now, const DispatchTargetName &Name,
+               const std::map<DispatchTargetName, TimePoint> &SilentSince,
+               double TargetRecord::*MeanMs) const;
   [[nodiscard]] static EndpointHoldOffs::Endpoint
   endpointOf(const TargetRecord &Record) {
     return {.Name = Record.Target.Endpoint,
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -417,6 +417,38 @@
   this->verifyRun();
 }
 
+/// Calls while some engines are slow, but work.
+class SlowEngines : public PlatformProcesses {
+protected:
+  /// Makes every \p Step-th engine slow and checks that no call is cut off.
+  void callWhileSlow(std::size_t Step) {
+    static constexpr double Factor = 45;
+    this->Caller.start(Callers, Pause);
+    this->sleep(seconds(1));
+    for (std::size_t Index = 0; Index < this->Deployment.endpoints().size();
+         Index += Step)
+      this->Deployment.endpoints().slowDown(Index, Factor);
+    this->sleep(seconds(8));
+    this->Caller.stop();
+    EXPECT_GT(this->Caller.counts().count(CallEnd::Answered), 100U);
+    // Some streams last longer than their callers wait.
+    LogSummary Summary = readLogs(this->Deployment.logs());
+    for (const auto &[Id, End] : Summary.Requests)
+      if (End.starts_with("cut-off") || End.starts_with("unknown")) {
+        EXPECT_TRUE(End.ends_with("out of time")) << Id << " " << End;
+      }
+    this->verifyRun();
+  }
+};
+
+// Guards against streams that are cut off although their engines work on them:
+// one that can't be repeated was given up for want of events.
+TEST_F(SlowEngines, KeepTheirStreamsIfAllAreSlow) { this->callWhileSlow(1); }
+
+TEST_F(SlowEngines, KeepTheirStreamsIfOneOfThreeIsSlow) {
+  this->callWhileSlow(3);
+}
+
 // Guards against callers that are refused for good by an older catalog than
 // their host has: it hands their requests on to hosts that were suspended.
 TEST_F(PlatformProcesses, SuspendedPeerRefusesNothingByItsOlderCatalog) {
