LibEntry: Take on late in a stop only what can be finished

Cause: admission did not look at the time that the stopping host has left.

Evidence: StoppingHostTakesOnOnlyWhatItCanFinish (processes, slow engines): a stream sent 2.2 s after SIGTERM began with 200 and was cut off, on the code before.

Change: StopAdmission. What may run only once is taken on if its deadline lies before the end, anything else if its route's answers, by their length, are expected to end in time; the rest is refused as not run. A request in progress gets a final answer 0.5 s before the end of the grace time instead of a closed connection.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -74,6 +74,14 @@
   });
   this->Exchange.onCallerDisconnected(
       [this] { this->handleCallerDisconnect(); });
+  // The writes of the answer throw if the caller is gone.
+  struct ActiveGuard {
+    SessionContext &Context;
+    CallerSession *Session;
+    ~ActiveGuard() { this->Context.ActiveSessions.erase(this->Session); }
+  };
+  this->Context.ActiveSessions.insert(this);
+  ActiveGuard Guard{this->Context, this};
   co_await this->serve();
   this->Exchange.onCallerDisconnected(nullptr);
 }
@@ -103,6 +111,9 @@
       this->TargetService, this->CallerRequest.Model);
   std::optional<Duration> Age = this->Context.State.Lease.age(monotonicNow());
   bool IsAnswered = Outcome == "answered";
+  if (IsAnswered)
+    this->Context.State.Stop.recordAnswered(this->expectedWork(),
+                                            monotonicNow() - this->ArrivedAt);
   logEvent(
       IsAnswered ? Severity::Info : Severity::Warning, "request",
       {{"request", this->CallerRequest.AttemptId},
@@ -189,6 +200,13 @@
   return true;
 }
 
+ExpectedWork CallerSession::expectedWork() const {
+  return {.Route = this->MatchedRoute->Name,
+          .AnswerTokens = this->CallerRequest.AnswerTokens,
+          .TimeBudget = this->Deadline - this->ArrivedAt,
+          .IsRepeatable = this->MatchedRoute->isSafeToRetry()};
+}
+
 AdmissionFacts CallerSession::findAdmissionFacts() {
   const EntryState &State = this->Context.State;
   AdmissionFacts Facts{.CatalogVersion = {},
@@ -248,6 +266,14 @@
   if (this->CallerRequest.TimeBudget)
     TimeBudget = std::min(TimeBudget, *this->CallerRequest.TimeBudget);
   this->Deadline = this->ArrivedAt + TimeBudget;
+  const StopAdmission &Stop = this->Context.State.Stop;
+  if (!Stop.mayAdmit(this->ArrivedAt, this->expectedWork())) {
+    co_await this->refuse(503, "the host stops",
+                          this->returnTime(RefusalCause::StateUnconfirmed));
+    co_return false;
+  }
+  this->Deadline =
+      std::min(this->Deadline, Stop.deadline().value_or(this->Deadline));
   co_return true;
 }
 
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -23,11 +23,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace carobhinge {
 
+class CallerSession;
+
 /// State that all sessions of a process share.
 struct SessionContext {
   boost::asio::any_io_executor Executor;
@@ -38,6 +41,8 @@
   /// By attempt at a target that may be stalled: cancels it if its session can
   /// retry elsewhere.
   std::map<AttemptNumber, std::function<void()>> AbandonCallbacks;
+  /// Sessions that were admitted and have not ended.
+  std::set<CallerSession *> ActiveSessions;
 };
 
 class CallerSession : public HttpResponseSink {
@@ -47,6 +52,8 @@
                 bool IsForwarded = false);
 
   boost::asio::awaitable<void> run();
+  /// Ends the request as its deadline does. Called on the executor's thread.
+  void endInTime() { this->handleDeadline(); }
 
   boost::asio::awaitable<void> head(const HttpResponseHead &Head) override;
   boost::asio::awaitable<void> chunk(std::string Data) override;
@@ -59,6 +66,8 @@
   boost::asio::awaitable<bool> admit();
   /// Finds the route and the workspace of the request.
   [[nodiscard]] AdmissionFacts findAdmissionFacts();
+  /// Only of a request whose route is known.
+  [[nodiscard]] ExpectedWork expectedWork() const;
   [[nodiscard]] std::uint64_t catalogVersion() const {
     return this->Routes ? this->Routes->catalog().Version : 0;
   }
--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -22,9 +22,10 @@
 /// The platform checks readiness once a second and needs up to two seconds to
 /// stop sending new connections to a host that isn't ready.
 static constexpr auto UnreadyTime = std::chrono::milliseconds(2600);
-/// Requests still in progress are cut off this long before the end of the grace
-/// time.
-static constexpr auto GraceMargin = std::chrono::milliseconds(300);
+/// Requests still in progress get their final answer this long before the end
+/// of the grace time, and are cut off FinalAnswerTime later.
+static constexpr auto GraceMargin = std::chrono::milliseconds(500);
+static constexpr auto FinalAnswerTime = std::chrono::milliseconds(200);
 
 EntryProcess::EntryProcess(asio::io_context &Context, HostSettings Settings,
                            const EndpointProtocol &Endpoints,
@@ -38,7 +39,8 @@
                     .Protocol = Endpoints,
                     .Client = this->Client,
                     .ProcessMetrics = this->ProcessMetrics,
-                    .AbandonCallbacks = {}},
+                    .AbandonCallbacks = {},
+                    .ActiveSessions = {}},
       CallerServer(Context.get_executor(),
                    {.Listen = this->Settings.CallerAddress},
                    [this](HttpExchange &Exchange) {
@@ -188,6 +190,7 @@
   this->PeerServer.drain();
   TimePoint StopDeadline =
       monotonicNow() + this->Settings.Bounds.GraceTime - GraceMargin;
+  this->State.Stop.beginStop(StopDeadline);
   Signal Pause(this->Context.get_executor());
   co_await Pause.wait(UnreadyTime);
   // If most hosts of a failure domain stop at once, the platform continues to
@@ -200,6 +203,13 @@
                  this->PeerServer.openConnections() >
              0)
     co_await Pause.wait(std::chrono::milliseconds(100));
+  // A final answer tells a caller more than a closed connection.
+  std::set<CallerSession *> Unfinished = this->SharedContext.ActiveSessions;
+  for (CallerSession *Session : Unfinished)
+    if (this->SharedContext.ActiveSessions.contains(Session))
+      Session->endInTime();
+  if (!Unfinished.empty())
+    co_await Pause.wait(FinalAnswerTime);
   this->Subscriber.stop();
   co_await Pause.wait(LinkCloseTime);
   logEvent(Severity::Info, "stopped",
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -13,6 +13,7 @@
 #include <LibEntry/ConfirmationLease.h>
 #include <LibEntry/Dispatcher.h>
 #include <LibEntry/RetryBudget.h>
+#include <LibEntry/StopAdmission.h>
 #include <LibRouting/EngineContact.h>
 #include <LibRouting/EngineCrashDetector.h>
 #include <LibRouting/PeerChoice.h>
@@ -72,6 +73,7 @@
   /// This host does not decide by an older one.
   std::uint64_t PeerCatalogVersion = 0;
   bool IsStopping = false;
+  StopAdmission Stop;
 };
 
 } // namespace carobhinge
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -449,6 +449,36 @@
   this->callWhileSlow(3);
 }
 
+// Guards against requests that are taken on late in the grace time of a stop
+// and cut off at its end.
+TEST_F(SlowEngines, StoppingHostTakesOnOnlyWhatItCanFinish) {
+  for (std::size_t I = 0; I < this->Deployment.endpoints().size(); ++I)
+    this->Deployment.endpoints().slowDown(I, 45);
+  this->Caller.start(Callers, Pause);
+  this->sleep(seconds(7));
+  this->Deployment.process(3).signal(SIGTERM);
+  this->sleep(std::chrono::milliseconds(2200));
+  HttpRequest Request{
+      .Method = "POST", .Target = "/draft/late", .Body = "{\"n\":1}"};
+  Request.Headers.add("Host", "callers.example");
+  Request.Headers.add(platform::AttemptIdField, "late");
+  Request.Headers.add(platform::KeyField, this->Deployment.key());
+  Request.Headers.add(platform::DeadlineField, "10000");
+  Request.Headers.add(platform::ModelField, "threes");
+  Request.Headers.add(platform::TokensField, "100,2000");
+  Request.Headers.add(platform::PromptPartsField, "c0ffee:50,1a7e:50");
+  HttpCallOptions Options{.HeadTimeout = seconds(10),
+                          .ChunkTimeout = seconds(10)};
+  HttpFetchResult Answer =
+      blockingFetch(this->Deployment.callerAddress(3), std::move(Request),
+                    std::move(Options));
+  EXPECT_EQ(Answer.Outcome, HttpCallOutcome::Complete);
+  EXPECT_EQ(Answer.Head.Status, 503U);
+  EXPECT_EQ(this->Deployment.process(3).wait(StopLimit), 0);
+  this->Caller.stop();
+  this->verifyRun();
+}
+
 // Guards against callers that are refused for good by an older catalog than
 // their host has: it hands their requests on to hosts that were suspended.
 TEST_F(PlatformProcesses, SuspendedPeerRefusesNothingByItsOlderCatalog) {
