LibHTTP: Answer requests that have arrived when the server stops

Cause: stop() closed connections that waited to be accepted, one that was accepted as the server stopped, and as idle those whose bytes had arrived but were not read yet.

Change: at the stop the waiting connections are accepted before the acceptor is closed, a connection without a request has 0.2 s for its first byte, and one with unread bytes is kept. The handler decides whether it still takes the request on.

--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -35,6 +35,10 @@
 /// was reached.
 static constexpr auto AcceptRetryDelay = std::chrono::milliseconds(50);
 
+/// At the stop, a connection that has just been opened has this long to begin
+/// its first request: its caller may have sent it already.
+static constexpr auto FirstByteTime = std::chrono::milliseconds(200);
+
 /// Returns a problem response of the server itself, for a request that no
 /// handler has processed.
 static HttpResponse problem(unsigned Status, std::string_view Title) {
@@ -60,6 +64,8 @@
                           this->Options.Listen)) {}
 
   asio::awaitable<void> acceptLoop();
+  void open(tcp::socket Socket);
+  void acceptWaiting();
   void closeAcceptor();
   void closeIdle();
   void track(const std::shared_ptr<Connection> &NewConnection);
@@ -95,14 +101,10 @@
 
   asio::awaitable<void> serve();
 
-  /// Closes the connection if no byte of a request has been received. Runs on
-  /// the connection's strand.
-  void closeIfIdle() {
-    if (!this->Idle)
-      return;
-    this->ClosedWhileIdle = true;
-    this->Stream.close();
-  }
+  /// Closes the connection if no byte of a request has arrived, at once or, if
+  /// it has never had one, after FirstByteTime. Runs on the connection's
+  /// strand.
+  void closeIfIdle();
   asio::any_io_executor executor() { return this->Stream.get_executor(); }
 
   [[nodiscard]] const HttpRequest &request() const override {
@@ -121,6 +123,7 @@
   }
 
 private:
+  void closeNowIfIdle();
   asio::awaitable<bool> readRequest();
   asio::awaitable<void> refuse(unsigned Status, std::string_view Title);
   asio::awaitable<void> handle();
@@ -141,8 +144,10 @@
   bool KeepAlive = true;
   /// True while waiting for the first byte of a request.
   bool Idle = false;
-  /// Set by closeIfIdle(). Bytes whose read had completed by then are dropped:
-  /// their request could run, but its response could not be written.
+  /// No request has been read yet.
+  bool IsFresh = true;
+  /// Set by closeNowIfIdle(). Bytes whose read had completed by then are
+  /// dropped: their request could run, but its response could not be written.
   bool ClosedWhileIdle = false;
   bool Disconnected = false;
   /// True if the last byte of the response was written. A connection with an
@@ -168,6 +173,25 @@
   this->Stream.close();
 }
 
+void Connection::closeIfIdle() {
+  if (!this->IsFresh)
+    return this->closeNowIfIdle();
+  auto Timer = std::make_shared<asio::steady_timer>(this->Stream.get_executor(),
+                                                    FirstByteTime);
+  Timer->async_wait(
+      [Self = this->shared_from_this(),
+       Timer](const boost::system::error_code &) { Self->closeNowIfIdle(); });
+}
+
+void Connection::closeNowIfIdle() {
+  beast::error_code Ignored;
+  // The read of bytes that have arrived is about to complete.
+  if (!this->Idle || this->Stream.socket().available(Ignored) > 0)
+    return;
+  this->ClosedWhileIdle = true;
+  this->Stream.close();
+}
+
 std::string Connection::callerIp() const {
   beast::error_code Error;
   tcp::endpoint Caller = this->Stream.socket().remote_endpoint(Error);
@@ -185,9 +209,10 @@
   if (this->Buffer.size() == 0) {
     // The response before may have promised to keep the connection open, as it
     // began before the stop. A request that is read now might not be finished.
-    if (this->Stopping)
+    if (this->Stopping && !this->IsFresh)
       co_return false;
-    this->Stream.expires_after(this->Options.IdleTimeout);
+    this->Stream.expires_after(this->Stopping ? FirstByteTime
+                                              : this->Options.IdleTimeout);
     this->Idle = true;
     auto [Error, Count] = co_await this->Stream.async_read_some(
         this->Buffer.prepare(this->Options.HeaderBytes), UseTuple);
@@ -196,6 +221,7 @@
       co_return false;
     this->Buffer.commit(Count);
   }
+  this->IsFresh = false;
   this->Stream.expires_after(this->Options.TransferTimeout);
   auto [Error, Count] =
       co_await http::async_read(this->Stream, this->Buffer, Parser, UseTuple);
@@ -364,34 +390,50 @@
   while (!this->Stopping) {
     tcp::socket Socket(asio::make_strand(this->Executor));
     auto [Error] = co_await this->Acceptor.async_accept(Socket, UseTuple);
-    if (this->Stopping)
-      break;
-    if (Error || this->Connections >= this->Options.Connections) {
-      // Out of file descriptors, or the limit of connections is reached: wait
-      // for some connections to end.
-      Socket.close();
-      asio::steady_timer RetryTimer(this->Acceptor.get_executor(),
-                                    AcceptRetryDelay);
-      co_await RetryTimer.async_wait(UseTuple);
+    if (!Error && this->Connections < this->Options.Connections) {
+      this->open(std::move(Socket));
       continue;
     }
-    beast::error_code Ignored;
-    Socket.set_option(tcp::no_delay(true), Ignored);
-    // monitorCaller() peeks at the socket, which must never block the thread.
-    Socket.non_blocking(true, Ignored);
-    auto Executor = Socket.get_executor();
-    auto NewConnection = std::make_shared<Connection>(
-        beast::tcp_stream(std::move(Socket)), this->Options, this->Handler,
-        this->Stopping, this->Draining, this->Active);
-    ++this->Connections;
-    this->track(NewConnection);
-    asio::co_spawn(
-        Executor,
-        [NewConnection, Self = this->shared_from_this()]()
-            -> asio::awaitable<void> { co_await NewConnection->serve(); },
-        [Self = this->shared_from_this()](const std::exception_ptr &) {
-          --Self->Connections;
-        });
+    if (this->Stopping)
+      break;
+    // Out of file descriptors, or the limit of connections is reached: wait for
+    // some connections to end.
+    Socket.close();
+    asio::steady_timer RetryTimer(this->Acceptor.get_executor(),
+                                  AcceptRetryDelay);
+    co_await RetryTimer.async_wait(UseTuple);
+  }
+}
+
+void HttpServer::Implementation::open(tcp::socket Socket) {
+  beast::error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  // monitorCaller() peeks at the socket, which must never block the thread.
+  Socket.non_blocking(true, Ignored);
+  auto Executor = Socket.get_executor();
+  auto NewConnection = std::make_shared<Connection>(
+      beast::tcp_stream(std::move(Socket)), this->Options, this->Handler,
+      this->Stopping, this->Draining, this->Active);
+  ++this->Connections;
+  this->track(NewConnection);
+  asio::co_spawn(
+      Executor,
+      [NewConnection, Self = this->shared_from_this()]()
+          -> asio::awaitable<void> { co_await NewConnection->serve(); },
+      [Self = this->shared_from_this()](const std::exception_ptr &) {
+        --Self->Connections;
+      });
+}
+
+/// Accepts the connections that wait: their callers may have sent requests.
+void HttpServer::Implementation::acceptWaiting() {
+  beast::error_code Error;
+  this->Acceptor.non_blocking(true, Error);
+  while (!Error && this->Connections < this->Options.Connections) {
+    tcp::socket Socket(asio::make_strand(this->Executor));
+    this->Acceptor.accept(Socket, Error);
+    if (!Error)
+      this->open(std::move(Socket));
   }
 }
 
@@ -417,6 +459,7 @@
 void HttpServer::Implementation::closeAcceptor() {
   this->Stopping = true;
   asio::post(this->Acceptor.get_executor(), [Self = this->shared_from_this()] {
+    Self->acceptWaiting();
     beast::error_code Ignored;
     Self->Acceptor.close(Ignored);
   });
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -85,8 +85,9 @@
   void setLimits(std::size_t HeaderBytes, std::size_t BodyBytes,
                  Duration TransferTimeout, Duration IdleTimeout);
 
-  /// Stops accepting connections, closes the idle ones, and closes the others
-  /// after their current request.
+  /// Accepts the connections that wait and no more, closes the idle ones, and
+  /// closes the others after their current request. A request whose first bytes
+  /// have arrived is still read and handled.
   void stop();
 
   /// Returns the number of requests that handlers are processing.
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -263,6 +263,44 @@
 
 /// The client of a stream that began before the stop was told that it may send
 /// its next request on the same connection.
+// Guards against requests that have arrived when the server stops and get a
+// closed connection: on one that waits to be accepted, on one that has just
+// been accepted, and on a kept one.
+TEST_F(Http, RequestsThatHaveArrivedAtTheStopAreAnswered) {
+  const std::string Request =
+      "POST /echo HTTP/1.1\r\nContent-Length: 1\r\n\r\n";
+  asio::ip::tcp::socket Kept(this->Context);
+  Kept.connect(parseAddress(this->Server.address()));
+  asio::write(Kept, asio::buffer(Request + "k"));
+  std::string KeptResponse;
+  bool IsAnswered = false;
+  asio::async_read_until(Kept, asio::dynamic_buffer(KeptResponse), "\r\n\r\nk",
+                         [&](auto, auto) { IsAnswered = true; });
+  this->runUntil([&] { return IsAnswered; });
+  asio::ip::tcp::socket Accepted(this->Context);
+  Accepted.connect(parseAddress(this->Server.address()));
+  this->runUntil([&] { return this->Server.openConnections() == 2; });
+  // The server waits for the next request on the kept connection.
+  while (this->Context.poll() > 0)
+    ;
+  asio::ip::tcp::socket Waiting(this->Context);
+  Waiting.connect(parseAddress(this->Server.address()));
+  asio::write(Kept, asio::buffer(Request + "1"));
+  asio::write(Accepted, asio::buffer(Request + "2"));
+  asio::write(Waiting, asio::buffer(Request + "3"));
+  this->Server.stop();
+  int Closed = 0;
+  std::string Responses[3];
+  asio::ip::tcp::socket *Sockets[] = {&Kept, &Accepted, &Waiting};
+  for (int I = 0; I < 3; ++I)
+    asio::async_read(*Sockets[I], asio::dynamic_buffer(Responses[I]),
+                     [&](auto, auto) { ++Closed; });
+  this->runUntil([&] { return Closed == 3; });
+  for (int I = 0; I < 3; ++I)
+    EXPECT_TRUE(Responses[I].ends_with("\r\n\r\n" + std::to_string(I + 1)))
+        << I << ": " << Responses[I];
+}
+
 TEST(HttpServer, TakesNoRequestAfterAStreamThatOutlastsTheStop) {
   asio::io_context Context;
   asio::steady_timer StreamEnd(Context, std::chrono::hours(1));
