Tests: Look for the faults that other operators reported

- An answer that ends within its head, at each byte, closed and reset, on a fresh and on a kept connection, after interim answers: always incomplete, never 200 with an empty body (ResponseThatEndsWithinItsHeadIsIncomplete).
A first form compared the versions of all hosts while changes went on and failed for that reason alone.

--- a/Tests/LibControl/TestReplicatedState.cpp
+++ b/Tests/LibControl/TestReplicatedState.cpp
@@ -8,10 +8,12 @@
 
 #include <LibControl/ReplicatedState.h>
 #include <LibStore/FakeDisk.h>
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_future.hpp>
 #include <gtest/gtest.h>
+#include <map>
 
 namespace asio = boost::asio;
 using namespace carobhinge;
@@ -87,3 +89,122 @@
   EXPECT_EQ(this->State.state().version(), 5U);
   EXPECT_TRUE(std::ranges::is_sorted(this->SeenVersions));
 }
+
+namespace {
+
+/// Three control hosts whose disks fill up. Each reopens its log as a control
+/// process does.
+class FullDisks : public testing::Test {
+protected:
+  struct Host {
+    FakeDisk Files;
+    HostSettings Settings;
+    std::unique_ptr<ReplicatedState> State;
+    TimePoint RecoveredAt;
+  };
+
+  void SetUp() override {
+    for (std::string Name : {"a", "b", "c"}) {
+      Host &Added = this->Hosts[Name];
+      Added.Settings.Host = Name;
+      Added.Settings.Ip = Name;
+      Added.Settings.DataFolder = "/data";
+      Added.State = std::make_unique<ReplicatedState>(
+          this->Context.get_executor(), Added.Settings,
+          std::vector<HostName>{"a", "b", "c"},
+          [this, Name](const HostName &To,
+                       const message::ConsensusMessage &Message) {
+            this->Hosts.at(To).State->receive(Name, Message);
+          },
+          [](const message::RegisterState &) {}, &Added.Files);
+    }
+  }
+  void run(Duration Length) {
+    static constexpr auto RecoveryInterval = std::chrono::milliseconds(500);
+    TimePoint End = monotonicNow() + Length;
+    while (monotonicNow() < End) {
+      this->Context.restart();
+      this->Context.run_for(std::chrono::milliseconds(10));
+      for (auto &[Name, Each] : this->Hosts)
+        if (monotonicNow() - Each.RecoveredAt >= RecoveryInterval) {
+          Each.State->recover();
+          Each.RecoveredAt = monotonicNow();
+        }
+    }
+  }
+  [[nodiscard]] HostName leader() const {
+    for (const auto &[Name, Each] : this->Hosts)
+      if (Each.State->status().Current == Role::Leader)
+        return Name;
+    return {};
+  }
+  /// Sends a change to the leader, if there is one. \returns whether it is
+  /// committed within a second.
+  bool change() {
+    HostName Leader = this->leader();
+    if (Leader.empty()) {
+      this->run(std::chrono::milliseconds(100));
+      return false;
+    }
+    message::RegisterCommand Command;
+    Command.set_version(++this->Version);
+    // Large enough for snapshots and several segments.
+    Command.set_text(std::string(20000, 'x'));
+    auto Result = asio::co_spawn(this->Context,
+                                 this->Hosts.at(Leader).State->propose(Command),
+                                 asio::use_future);
+    TimePoint End = monotonicNow() + std::chrono::seconds(1);
+    while (monotonicNow() < End) {
+      this->run(std::chrono::milliseconds(10));
+      if (Result.wait_for(std::chrono::seconds(0)) ==
+          std::future_status::ready) {
+        bool Committed = Result.get() == ProposalStatus::Committed;
+        this->Acknowledged = Committed ? this->Version : this->Acknowledged;
+        return Committed;
+      }
+    }
+    return false;
+  }
+  /// \returns whether all hosts vote and hold what was acknowledged.
+  [[nodiscard]] bool isWhole() const {
+    HostName Leader = this->leader();
+    return !Leader.empty() &&
+           this->Hosts.at(Leader).State->status().RepairComplete &&
+           std::ranges::all_of(this->Hosts, [&](const auto &Each) {
+             return Each.second.State->state().version() >= this->Acknowledged;
+           });
+  }
+
+  asio::io_context Context{1};
+  std::map<HostName, Host> Hosts;
+  std::uint64_t Version = 0;
+  std::uint64_t Acknowledged = 0;
+};
+
+} // namespace
+
+// Guards against changes that are refused for good after the disks of all hosts
+// were full one after another, the leader's first, with changes meanwhile.
+TEST_F(FullDisks, OneAfterAnotherLeaveAllHostsVoting) {
+  static constexpr auto FullTime = std::chrono::milliseconds(1500);
+  static constexpr int Rounds = 2;
+  while (!this->change())
+    this->run(std::chrono::milliseconds(50));
+  for (int Round = 0; Round < Rounds; ++Round)
+    for (int Turn = 0; Turn < 3; ++Turn) {
+      HostName Full = this->leader();
+      if (Turn > 0 || Full.empty())
+        Full = std::next(this->Hosts.begin(), Turn)->first;
+      this->Hosts.at(Full).Files.IsFull = true;
+      TimePoint End = monotonicNow() + FullTime;
+      while (monotonicNow() < End)
+        this->change();
+      this->Hosts.at(Full).Files.IsFull = false;
+    }
+  TimePoint End = monotonicNow() + std::chrono::seconds(5);
+  while (!this->isWhole() && monotonicNow() < End)
+    this->run(std::chrono::milliseconds(50));
+  EXPECT_TRUE(this->isWhole());
+  EXPECT_TRUE(this->change());
+  EXPECT_GT(this->Acknowledged, 10U);
+}
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -511,6 +511,46 @@
   }
 }
 
+// Guards against an answer that ends within its head and is taken for a whole
+// one with an empty body: on a fresh and on a kept connection, after interim
+// answers, closed or reset.
+TEST(HttpClient, ResponseThatEndsWithinItsHeadIsIncomplete) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Type: "
+                           "text/event-stream\r\nLast: field\r\n\r\n";
+  for (std::string Interim : {"", "HTTP/1.1 100 Continue\r\n\r\n",
+                              "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"})
+    for (std::size_t Length = 0; Length < Head.size(); ++Length) {
+      std::string Bytes = Interim + Head.substr(0, Length);
+      for (bool Reset : {false, true}) {
+        HttpFetchResult Response = fetchRawResponse(Bytes, Reset);
+        EXPECT_EQ(Response.Outcome, HttpCallOutcome::Incomplete) << Bytes;
+      }
+      asio::io_context Context;
+      KeptEndpoint Endpoint(
+          Context,
+          {"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 0\r\n\r\n", Bytes});
+      HttpClient Client(Context.get_executor(), {.SingleThread = true});
+      for (HttpCallOutcome Expected :
+           {HttpCallOutcome::Complete, HttpCallOutcome::Incomplete}) {
+        HttpCallOptions Options;
+        Options.CompleteOnClose = true;
+        auto Future = asio::co_spawn(
+            Context,
+            Client.fetch(Endpoint.address(), {.Method = "GET", .Target = "/"},
+                         Options, 4096),
+            asio::use_future);
+        Context.restart();
+        while (Future.wait_for(std::chrono::seconds(0)) !=
+               std::future_status::ready)
+          Context.run_one();
+        EXPECT_EQ(Future.get().Outcome, Expected) << Bytes;
+      }
+      EXPECT_EQ(Endpoint.connections(), 1);
+    }
+  // With all of its head, it ends where its connection does.
+  EXPECT_EQ(fetchRawResponse(Head, false).Outcome, HttpCallOutcome::Complete);
+}
+
 TEST(ResponseOwner, FollowsFromTheIdOrTheConnection) {
   auto Find = [](std::string_view Id, bool IsReused, bool IsEarly) {
     return findResponseOwner(
--- a/Tests/LibStore/FakeDisk.h
+++ b/Tests/LibStore/FakeDisk.h
@@ -23,7 +23,7 @@
 /// Thrown by the operation that a power cut interrupts.
 struct PowerCut {};
 
-/// Not thread-safe, except for FailSyncs.
+/// Not thread-safe, except for FailSyncs and IsFull.
 class FakeDisk : public Disk {
 public:
   /// The content of a file, independent of its name.
@@ -40,6 +40,8 @@
   /// Bytes that can be written until an append throws PowerCut.
   std::optional<std::size_t> BytesUntilPowerCut;
   std::atomic<bool> FailSyncs = false;
+  /// Every write fails; names can still be changed.
+  std::atomic<bool> IsFull = false;
   /// Number of operations so far that changed the disk.
   std::size_t ChangeCount = 0;
   /// The change with this number, counted from zero, throws PowerCut.
@@ -147,6 +149,8 @@
   /// Appends \p Bytes to \p File, as far as space and power allow.
   void write(Node &File, std::string_view Bytes) {
     this->countChange();
+    if (this->IsFull)
+      throw DiskError("write", "", {ENOSPC, std::generic_category()});
     if (this->SpaceLeft && Bytes.size() > *this->SpaceLeft) {
       File.Data += Bytes.substr(0, *this->SpaceLeft);
       this->SpaceLeft = 0;
