Carobhinge: Ignore a reload until its handler is set

Cause: until the handlers are set, the default action of SIGHUP ends the process.

Evidence: ReloadDuringTheStartIsIgnored, which holds the process at reading its settings, fails with the binary before.

Change: SIGHUP is ignored from the beginning of the entry and control commands.

--- a/Carobhinge/HostCommands.cpp
+++ b/Carobhinge/HostCommands.cpp
@@ -65,6 +65,9 @@
 
 static int runFile(const std::string &Path,
                    int (*Run)(const HostSettings &LocalSettings)) {
+  // Before the handlers are set, a reload must not end the process. There is
+  // nothing to reload yet.
+  std::signal(SIGHUP, SIG_IGN);
   HostSettings LocalSettings;
   try {
     LocalSettings = loadHostSettings(Path);
--- a/Tests/Carobhinge/TestCommandLine.cpp
+++ b/Tests/Carobhinge/TestCommandLine.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <sys/stat.h>
 
 using namespace carobhinge;
 using ::testing::HasSubstr;
@@ -137,3 +138,21 @@
             ExitRefused);
   EXPECT_TRUE(json::parse(this->Output).at("findings").is_array());
 }
+
+// Guards against a process that ends because a reload is requested while it
+// starts. It reads its settings from a pipe, and so waits for them.
+TEST_F(CommandLine, ReloadDuringTheStartIsIgnored) {
+  std::string Pipe = (this->Folder / "settings").string();
+  ASSERT_EQ(mkfifo(Pipe.c_str(), 0600), 0);
+  for (const char *Role : {"entry", "control"}) {
+    ChildProcess Process(CAROBHINGE_BINARY, {Role, "--settings", Pipe},
+                         (this->Folder / "log").string());
+    // Returns once the process reads.
+    std::ofstream Settings(Pipe);
+    Process.signal(SIGHUP);
+    EXPECT_EQ(Process.wait(std::chrono::milliseconds(200)), std::nullopt);
+    Settings << "no settings";
+    Settings.close();
+    EXPECT_EQ(Process.wait(std::chrono::seconds(10)), ExitUsage);
+  }
+}
