--- a/Libraries/LibControl/VoteHandover.cpp
+++ b/Libraries/LibControl/VoteHandover.cpp
@@ -6,7 +6,8 @@
 namespace carobhinge {
 
 // Half of the grace time remains for the calls in progress.
-VoteHandover::VoteHandover(TimePoint StopAt, Duration GraceTime, HostName Self,
+VoteHandover::VoteHandover(TimePoint StopAt, Duration GraceTime,
+                           const HostName &Self,
                            std::span<const HostName> Voters)
     : Deadline(StopAt + GraceTime / 2), Voters(Voters.begin(), Voters.end()),
       HasVote(std::ranges::find(Voters, Self) != Voters.end()) {}
--- a/Libraries/LibControl/VoteHandover.h
+++ b/Libraries/LibControl/VoteHandover.h
@@ -23,7 +23,7 @@
 public:
   /// \p Voters are the voters at the time of the stop, \p GraceTime the time
   /// from the stop until the process is killed.
-  VoteHandover(TimePoint StopAt, Duration GraceTime, HostName Self,
+  VoteHandover(TimePoint StopAt, Duration GraceTime, const HostName &Self,
                std::span<const HostName> Voters);
 
   /// Records that the leader counts this host no longer among the voters.
--- a/Tests/LibConsensus/TestReplica.cpp
+++ b/Tests/LibConsensus/TestReplica.cpp
@@ -401,7 +401,7 @@
     for (unsigned LostAt = 1; LostAt <= Steps; ++LostAt) {
       this->start({.Hosts = Three, .Spares = {"d"}});
       // Which host is to go depends on the case, the leader among them.
-      const HostName Removed = Three[LostAt % Three.size()];
+      const HostName &Removed = Three[LostAt % Three.size()];
       bool Due = false;
       this->replace(Removed, [&](unsigned Step) { Due |= Step == LostAt; });
       for (int Tick = 0; Tick < 1000 && !Due; ++Tick)
@@ -420,7 +420,7 @@
   static constexpr unsigned Steps = 60;
   for (unsigned KilledAt = 1; KilledAt <= Steps; ++KilledAt) {
     this->start({.Hosts = Three, .Spares = {"d"}});
-    const HostName Removed = Three[KilledAt % Three.size()];
+    const HostName &Removed = Three[KilledAt % Three.size()];
     bool Due = false;
     this->replace(Removed, [&](unsigned Step) { Due |= Step == KilledAt; });
     for (int Tick = 0; Tick < 1000 && !Due; ++Tick)
--- a/Tests/PlatformProcesses/TestPlatformProcesses.cpp
+++ b/Tests/PlatformProcesses/TestPlatformProcesses.cpp
@@ -488,8 +488,10 @@
   this->sleep(std::chrono::milliseconds(1500));
   this->Deployment.setEndpointLinks(3, LinkMode::Cut);
   this->sleep(std::chrono::milliseconds(500));
+  static constexpr int Requests = 8;
   std::vector<std::future<unsigned>> Statuses;
-  for (int I = 0; I < 8; ++I)
+  Statuses.reserve(Requests);
+  for (int I = 0; I < Requests; ++I)
     Statuses.push_back(std::async(std::launch::async, [this, I] {
       HttpRequest Request{.Method = "GET",
                           .Target = "/v2/" + std::to_string(I)};
@@ -506,6 +508,7 @@
   for (std::size_t Peer : {4U, 5U})
     this->Deployment.process(Peer).signal(SIGCONT);
   std::vector<unsigned> Results;
+  Results.reserve(Requests);
   for (auto &Status : Statuses)
     Results.push_back(Status.get());
   EXPECT_EQ(std::ranges::count(Results, 404U), 0);
