LibEntry: Let a stop learn from requests that outlast their callers

Cause, argued from the code: the expected time of a route came from whole answers only. Where engines are slow, streams end at their deadline and told nothing.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -111,9 +111,10 @@
       this->TargetService, this->CallerRequest.Model);
   std::optional<Duration> Age = this->Context.State.Lease.age(monotonicNow());
   bool IsAnswered = Outcome == "answered";
-  if (IsAnswered)
-    this->Context.State.Stop.recordAnswered(this->expectedWork(),
-                                            monotonicNow() - this->ArrivedAt);
+  // What lasts longer than its caller waits tells the same as a long answer.
+  if (IsAnswered || this->DeadlinePassed)
+    this->Context.State.Stop.recordEnd(this->expectedWork(),
+                                       monotonicNow() - this->ArrivedAt);
   logEvent(
       IsAnswered ? Severity::Info : Severity::Warning, "request",
       {{"request", this->CallerRequest.AttemptId},
--- a/Libraries/LibEntry/StopAdmission.cpp
+++ b/Libraries/LibEntry/StopAdmission.cpp
@@ -18,7 +18,7 @@
       std::chrono::duration<double, std::nano>(Time) / Tokens);
 }
 
-void StopAdmission::recordAnswered(const ExpectedWork &Work, Duration Took) {
+void StopAdmission::recordEnd(const ExpectedWork &Work, Duration Took) {
   RouteTimes &Longest = this->Times[Work.Route];
   Longest.Answer = fadingMaximum(Longest.Answer, Took);
   if (Work.AnswerTokens >= 1)
--- a/Libraries/LibEntry/StopAdmission.h
+++ b/Libraries/LibEntry/StopAdmission.h
@@ -31,8 +31,9 @@
 
 class StopAdmission {
 public:
-  /// A request was answered in \p Took.
-  void recordAnswered(const ExpectedWork &Work, Duration Took);
+  /// A request was answered in \p Took, or had no whole answer by then, which
+  /// is its deadline.
+  void recordEnd(const ExpectedWork &Work, Duration Took);
 
   /// The process ends at \p Deadline at the latest.
   void beginStop(TimePoint Deadline) { this->Deadline = Deadline; }
--- a/Tests/LibEntry/TestStopAdmission.cpp
+++ b/Tests/LibEntry/TestStopAdmission.cpp
@@ -26,7 +26,7 @@
 
 TEST(StopAdmission, AdmitsWhatMayNotRepeatOnlyIfItEndsInTime) {
   StopAdmission Stop;
-  Stop.recordAnswered(work(seconds(8), false), seconds(1));
+  Stop.recordEnd(work(seconds(8), false), seconds(1));
   Stop.beginStop(Start + seconds(8));
   EXPECT_TRUE(Stop.mayAdmit(Start, work(seconds(8), false)));
   EXPECT_FALSE(Stop.mayAdmit(Start, work(seconds(8) + Duration(1), false)));
@@ -36,8 +36,8 @@
 TEST(StopAdmission, AdmitsOthersIfTheyAreExpectedToEndInTime) {
   StopAdmission Stop;
   ExpectedWork Work = work(seconds(8), true);
-  Stop.recordAnswered(Work, seconds(3));
-  Stop.recordAnswered(Work, seconds(3) / 2);
+  Stop.recordEnd(Work, seconds(3));
+  Stop.recordEnd(Work, seconds(3) / 2);
   Stop.beginStop(Start + seconds(8));
   EXPECT_TRUE(Stop.mayAdmit(Start + seconds(5), Work));
   EXPECT_FALSE(Stop.mayAdmit(Start + seconds(6), Work));
@@ -45,10 +45,10 @@
   EXPECT_FALSE(Stop.mayAdmit(Start + seconds(5), Work));
   // They have become slow, and fast again.
   Work.Route = "r";
-  Stop.recordAnswered(Work, seconds(9));
+  Stop.recordEnd(Work, seconds(9));
   EXPECT_FALSE(Stop.mayAdmit(Start + seconds(1), Work));
   for (int I = 0; I < 200; ++I)
-    Stop.recordAnswered(Work, seconds(1));
+    Stop.recordEnd(Work, seconds(1));
   EXPECT_TRUE(Stop.mayAdmit(Start + seconds(6), Work));
 }
 
@@ -56,7 +56,7 @@
   StopAdmission Stop;
   ExpectedWork Work = work(seconds(8), true);
   Work.AnswerTokens = 100;
-  Stop.recordAnswered(Work, seconds(1));
+  Stop.recordEnd(Work, seconds(1));
   Stop.beginStop(Start + seconds(8));
   Work.AnswerTokens = 500;
   EXPECT_TRUE(Stop.mayAdmit(Start + seconds(3), Work));
