LibEntry: Free a host from a version that a later confirmation disproves

What callers would see: a host that has once been told of a version that does not exist refuses every request until its process ends.

Cause: the newest version seen at another entry host was kept as a bare maximum. A peer of an earlier build passes on the field Entry-Catalog-Version as an endpoint wrote it.

Change: PeerCatalog. What was seen binds until a majority has confirmed, for a question asked later, that the state applied here is the newest: by then the version is applied, or it was not a true one.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -211,7 +211,8 @@
 AdmissionFacts CallerSession::findAdmissionFacts() {
   const EntryState &State = this->Context.State;
   AdmissionFacts Facts{.CatalogVersion = {},
-                       .RequiredVersion = State.PeerCatalogVersion,
+                       .RequiredVersion = State.SeenCatalog.requiredVersion(
+                           this->ArrivedAt, State.Lease.age(this->ArrivedAt)),
                        .IsStateConfirmed = State.Lease.isValid(this->ArrivedAt),
                        .IsConfirmationFresh =
                            State.Lease.isFresh(this->ArrivedAt)};
@@ -813,9 +814,8 @@
   if (this->CurrentAttempt != 0)
     this->contact().recordReached();
   else
-    this->Context.State.PeerCatalogVersion =
-        std::max(this->Context.State.PeerCatalogVersion,
-                 this->AnswerMetadata.PeerCatalogVersion);
+    this->Context.State.SeenCatalog.record(
+        monotonicNow(), this->AnswerMetadata.PeerCatalogVersion);
   this->Context.State.Crashes.recordProgress(monotonicNow(),
                                              this->CurrentAttempt);
   // A request that reached another endpoint by mistake says nothing about this
--- a/Libraries/LibEntry/EntryState.h
+++ b/Libraries/LibEntry/EntryState.h
@@ -12,6 +12,7 @@
 #include <LibCatalog/RouteTable.h>
 #include <LibEntry/ConfirmationLease.h>
 #include <LibEntry/Dispatcher.h>
+#include <LibEntry/PeerCatalog.h>
 #include <LibEntry/RetryBudget.h>
 #include <LibEntry/StopAdmission.h>
 #include <LibRouting/EngineContact.h>
@@ -69,9 +70,8 @@
   /// Entry hosts that share the retry budgets, as reported by the control
   /// hosts; at least 1.
   int EntryHostCount = 1;
-  /// The newest catalog by which another entry host is known to have decided.
-  /// This host does not decide by an older one.
-  std::uint64_t PeerCatalogVersion = 0;
+  /// This host does not decide by a catalog older than the one seen there.
+  PeerCatalog SeenCatalog;
   bool IsStopping = false;
   StopAdmission Stop;
 };
--- a/Tests/LibEntry/TestAdmission.cpp
+++ b/Tests/LibEntry/TestAdmission.cpp
@@ -8,6 +8,7 @@
 
 #include <LibEntry/Admission.h>
 #include <LibEntry/ConfirmationLease.h>
+#include <LibEntry/PeerCatalog.h>
 #include <gtest/gtest.h>
 
 using namespace carobhinge;
@@ -102,3 +103,25 @@
   for (unsigned Status : {200U, 400U, 503U})
     EXPECT_FALSE(isRefusedByOlderCatalog({.Status = Status}, 2));
 }
+
+// Guards against a host that refuses everything for good because an answer
+// named a version that does not exist, as a faulty endpoint may write it
+// through a peer of an earlier build.
+TEST(PeerCatalog, BindsUntilALaterConfirmation) {
+  using std::chrono::seconds;
+  TimePoint Start{seconds(1000)};
+  PeerCatalog Seen;
+  EXPECT_EQ(Seen.requiredVersion(Start, std::nullopt), 0U);
+  Seen.record(Start, 7);
+  EXPECT_EQ(Seen.requiredVersion(Start, std::nullopt), 7U);
+  // Confirmations that were requested before, and after, it was seen.
+  EXPECT_EQ(Seen.requiredVersion(Start + seconds(1), seconds(2)), 7U);
+  EXPECT_EQ(Seen.requiredVersion(Start + seconds(1), seconds(1)), 7U);
+  EXPECT_EQ(Seen.requiredVersion(Start + seconds(2), seconds(1)), 0U);
+  // An older one, and none, change nothing.
+  Seen.record(Start + seconds(3), 6);
+  Seen.record(Start + seconds(3), 0);
+  EXPECT_EQ(Seen.requiredVersion(Start + seconds(4), seconds(2)), 0U);
+  Seen.record(Start + seconds(4), 8);
+  EXPECT_EQ(Seen.requiredVersion(Start + seconds(4), seconds(2)), 8U);
+}
