LibControl: Let a stopping leader make the change of voters itself

Cause: a stopping leader transferred its leadership first, and could transfer it to the other stopping host, which did the same. Neither led long enough to ask for other voters, and both ended with their votes.

Change: a stopping leader counts itself among those to be replaced (ControlHosts::setStopping), adds its successor, and transfers its leadership to one of the wanted voters, which removes it.

StoppingLeaderReplacesItself is the test of the decision.

--- a/Libraries/LibControl/ControlHosts.cpp
+++ b/Libraries/LibControl/ControlHosts.cpp
@@ -45,7 +45,7 @@
 
 bool ControlHosts::isReachable(TimePoint Now, const HostName &Host) const {
   if (Host == this->Self)
-    return true;
+    return !this->IsStopping;
   auto Found = this->Hosts.find(Host);
   return Found != this->Hosts.end() && Found->second.LastContactAt &&
          !Found->second.Stopping &&
--- a/Libraries/LibControl/ControlHosts.h
+++ b/Libraries/LibControl/ControlHosts.h
@@ -43,6 +43,9 @@
   void recordContact(TimePoint Now, const HostName &Host,
                      const FailureDomainName &Domain, bool Stopping = false);
   void removeExpired(TimePoint Now);
+  /// The local process is about to stop, so that another host should vote in
+  /// its place.
+  void setStopping() { this->IsStopping = true; }
 
   [[nodiscard]] std::vector<HostName> allHosts() const;
 
@@ -82,6 +85,7 @@
   [[nodiscard]] FailureDomainName findDomain(const HostName &Host) const;
 
   HostName Self;
+  bool IsStopping = false;
   FailureDomainName Domain;
   ControlHostsOptions Options;
   /// Without Self.
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -156,11 +156,11 @@
     return this->Hosts.hasSuccessor(monotonicNow(), this->Handover->voters());
   };
   Signal Pause(this->Context.get_executor());
+  // A leader makes the change itself and transfers its leadership last. Before,
+  // it could transfer it to a host that is about to stop too.
+  this->Hosts.setStopping();
   this->introduceToAll();
   while (!this->Handover->isFinished(monotonicNow(), HasSuccessor())) {
-    // A leader does not remove its own vote.
-    if (this->State.status().Current == Role::Leader)
-      this->State.transferLeadership();
     co_await Pause.wait(HandoverInterval);
     this->introduceToAll();
   }
--- a/Tests/LibControl/TestControlHosts.cpp
+++ b/Tests/LibControl/TestControlHosts.cpp
@@ -111,6 +111,19 @@
             (std::vector<HostName>{"h00", "h19", "h29"}));
 }
 
+// Guards against a leader that is about to stop and leaves its replacement to
+// the next leader, which may be about to stop too.
+TEST(ControlHosts, StoppingLeaderReplacesItself) {
+  ControlHosts Hosts = makeHosts(3, 1);
+  Hosts.recordContact(Start, "h09", "d0");
+  Hosts.recordContact(Start, "h19", "d1");
+  Hosts.recordContact(Start, "h10", "d1", true);
+  Hosts.setStopping();
+  std::vector<HostName> Voters{"h00", "h10", "h20"};
+  EXPECT_EQ(Hosts.chooseRequest(Start, Voters, Voters, {.Hosts = 1}),
+            (std::vector<HostName>{"h09", "h19", "h20"}));
+}
+
 // Guards against a request that the log ignored and that is not repeated, and
 // against a replacement that goes on after its reason has gone.
 TEST(ControlHosts, RequestsChangeUntilTheLogHasTakenItUp) {
