Meta: Show the failed link of the product for x86-64

What users saw: the last landing's build ends on x86-64 with "ld returned 1 exit status" at the link of carobhinge, twice on clean machines. On arm64 it passes.

A branch of CMakeLists.txt that only x86-64 takes had never been linked.

--- a/Meta/carobhinge.sh
+++ b/Meta/carobhinge.sh
@@ -12,6 +12,8 @@
   test           build and run the test suite
   test-sanitize  the suite under AddressSanitizer and UBSan
   test-thread    the threaded parts under ThreadSanitizer
+  test-architectures [ARCHITECTURE...]
+                 the product's build for amd64 and arm64, as a deployment builds
   lint           formatter and linter, in check mode
   format         let the formatter rewrite the sources
   bench NAME     run one benchmark (without NAME: list them)
@@ -109,6 +111,9 @@
   TSAN_OPTIONS="halt_on_error=1 suppressions=$PWD/Meta/tsan-suppressions.txt" \
     run_tests Thread -R '^(LibConsensus|LibWire|LibHTTP|LibTelemetry)$' "$@"
   ;;
+test-architectures)
+  exec Meta/build-architectures.sh "$@"
+  ;;
 lint)
   install_packages
   build Release
--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -16,9 +16,9 @@
 JOBS=${CAROBHINGE_JOBS:-$(nproc)}
 
 # Installs only what dpkg does not already report as installed.
-install_packages() {
+install_packages() { # install_packages [PACKAGE...], beside PACKAGES
   local missing=() package
-  for package in "${PACKAGES[@]}"; do
+  for package in "${PACKAGES[@]}" "$@"; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
       grep -q 'ok installed' || missing+=("$package")
   done
