LibTelemetry: Write logs with spdlog, which brings no unwinder

What callers saw: no build on x86-64. The link of carobhinge fails there, on each clean machine; on arm64 it passes.

Cause: Debian's glog is built with libunwind on amd64 and without it on arm64. The branch that then took libunwind.a had two faults, either one enough: -static-libgcc brings libgcc's unwinder beside the one of libunwind.a (two definitions of _Unwind_Resume), and libunwind.a isn't position independent, while executables are.

Change: LibTelemetry/Log.cpp writes with the headers of spdlog and fmt. The deploy file names libspdlog-dev and libfmt-dev instead of libgoogle-glog-dev.

Weighed: libunwind's shared library (links, but exceptions then go through another unwinder than on arm64, and two more libraries are loaded before main()); libunwind and libgcc both shared (two unwinders in one process); -no-pie without -static-libgcc (a fixed address, and libgcc_s to load). Each keeps a part that differs by architecture and that no run on arm64 tries.

What else operators see: a process writes one file of JSON lines a start instead of three, without glog's four lines of heading that no reader of JSON takes; a missing folder is made; lines are in the file at once, where glog kept them for up to 30 s; a folder that can't be used is named (`log-folder-unusable`), and standard error gets the lines, where glog dropped all but errors.

The x86-64 binary has not been run.

--- a/Carobhinge/HostCommands.cpp
+++ b/Carobhinge/HostCommands.cpp
@@ -47,10 +47,8 @@
   if (!Start.run(Addresses, [&](asio::io_context &Context) {
         Running =
             std::make_unique<Process>(Context, LocalSettings, Platform...);
-      })) {
-    flushLog();
+      }))
     return ExitSuccess;
-  }
   asio::io_context &Context = Start.context();
   Start.whenStopped([&] {
     asio::co_spawn(Context, Running->stop(),
@@ -72,7 +70,6 @@
   Reloads.async_wait(Reload);
   Running->start();
   runContext(Context);
-  flushLog();
   return ExitSuccess;
 }
 
--- a/Carobhinge/ServeCommand.cpp
+++ b/Carobhinge/ServeCommand.cpp
@@ -69,10 +69,8 @@
   std::unique_ptr<ServerProcess> Process;
   if (!Start.run(Addresses, [&](asio::io_context &Context) {
         Process = std::make_unique<ServerProcess>(Context, LocalSettings);
-      })) {
-    flushLog();
+      }))
     return ExitSuccess;
-  }
   asio::io_context &Context = Start.context();
   int Exit = ExitSuccess;
   Start.whenStopped([&] {
@@ -86,7 +84,6 @@
   });
   Process->start();
   runThreads(Context, LocalSettings.Threads);
-  flushLog();
   return Exit;
 }
 
--- a/Libraries/LibTelemetry/Log.cpp
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -1,8 +1,8 @@
 //===- LibTelemetry/Log.cpp - Structured logs, one JSON object per line ---===//
 ///
 /// \file
-/// Formats lines with Boost.JSON and passes them to glog without its prefix, or
-/// to a LogWriter for standard output.
+/// Formats lines with Boost.JSON and passes them to spdlog as they are, or to a
+/// LogWriter for standard output.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -13,8 +13,12 @@
 #include <boost/json.hpp>
 #include <chrono>
 #include <ctime>
-#include <glog/logging.h>
+#include <filesystem>
 #include <memory>
+#include <spdlog/logger.h>
+#include <spdlog/sinks/rotating_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <unistd.h>
 
 namespace json = boost::json;
 
@@ -22,31 +26,75 @@
 
 static constexpr std::array<std::string_view, 3> SeverityNames = {
     "info", "warning", "error"};
+static constexpr std::array<spdlog::level::level_enum, 3> SpdlogLevels = {
+    spdlog::level::info, spdlog::level::warn, spdlog::level::err};
+
+/// A file of a folder of logs is as large as this at most, in bytes.
+static constexpr std::size_t MaxFileBytes = std::size_t(1800) * 1024 * 1024;
+/// A process keeps this many files beside the one that it writes; then the
+/// oldest one is deleted.
+static constexpr std::size_t MaxOlderFiles = 1000;
 
 /// Set by startLog() before any other thread runs.
 static LogOptions Configuration;
 
-/// Set if lines are written to standard output; glog writes nothing then.
+/// Set if lines are written to standard output; Lines gets none then.
 static std::unique_ptr<LogWriter> Output;
 
+/// Returns a log that adds nothing to a line, and in which none stays buffered.
+static std::unique_ptr<spdlog::logger>
+makeLines(std::vector<spdlog::sink_ptr> Sinks) {
+  auto Lines = std::make_unique<spdlog::logger>("carobhinge", Sinks.begin(),
+                                                Sinks.end());
+  Lines->set_pattern("%v");
+  Lines->set_level(spdlog::level::trace);
+  Lines->flush_on(spdlog::level::trace);
+  return Lines;
+}
+
+/// The log that lines go to; standard error before startLog().
+static std::unique_ptr<spdlog::logger> &lines() {
+  static std::unique_ptr<spdlog::logger> Lines =
+      makeLines({std::make_shared<spdlog::sinks::stderr_sink_mt>()});
+  return Lines;
+}
+
+/// Returns the path of this process's log in \p Folder. Processes that follow
+/// one another, or overlap, have a file each.
+static std::string filePath(const std::string &Folder) {
+  std::time_t Now = std::time(nullptr);
+  std::tm Calendar{};
+  gmtime_r(&Now, &Calendar);
+  std::array<char, 32> Text{};
+  std::strftime(Text.data(), Text.size(), "%Y%m%dT%H%M%SZ", &Calendar);
+  std::string Name = std::string("carobhinge.") + Text.data() + "." +
+                     std::to_string(getpid()) + ".log";
+  return (std::filesystem::path(Folder) / Name).string();
+}
+
+/// Lets lines go to a file in \p Folder, errors to standard error too.
+static void openFile(const std::string &Folder) {
+  auto Errors = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  Errors->set_level(spdlog::level::err);
+  lines() = makeLines({std::make_shared<spdlog::sinks::rotating_file_sink_mt>(
+                           filePath(Folder), MaxFileBytes, MaxOlderFiles),
+                       Errors});
+}
+
 void startLog(const LogOptions &Options) {
   Configuration = Options;
   if (Options.ToStandardOutput) {
     Output = std::make_unique<LogWriter>(LogWriterOptions());
     return;
   }
-  FLAGS_log_prefix = false;
-  FLAGS_timestamp_in_logfile_name = true;
-  FLAGS_logtostderr = Options.Folder.empty();
-  if (!Options.Folder.empty())
-    FLAGS_log_dir = Options.Folder;
-  FLAGS_minloglevel = static_cast<int>(Options.MinSeverity);
-  google::InitGoogleLogging("carobhinge");
-}
-
-void flushLog() {
-  if (!Output)
-    google::FlushLogFiles(google::GLOG_INFO);
+  if (Options.Folder.empty())
+    return;
+  try {
+    openFile(Options.Folder);
+  } catch (const spdlog::spdlog_ex &Error) {
+    logEvent(Severity::Error, "log-folder-unusable",
+             {{"folder", Options.Folder}, {"error", Error.what()}});
+  }
 }
 
 static json::object lineFields(Severity Level, std::string_view Event,
@@ -111,17 +159,8 @@
                     true);
     return Output->write(std::move(Text), Important);
   }
-  switch (Level) {
-  case Severity::Info:
-    LOG(INFO) << Text;
-    break;
-  case Severity::Warning:
-    LOG(WARNING) << Text;
-    break;
-  case Severity::Error:
-    LOG(ERROR) << Text;
-    break;
-  }
+  lines()->log(SpdlogLevels[static_cast<int>(Level)],
+               spdlog::string_view_t(Text.data(), Text.size()));
 }
 
 } // namespace carobhinge
--- a/Libraries/LibTelemetry/Log.h
+++ b/Libraries/LibTelemetry/Log.h
@@ -2,7 +2,7 @@
 ///
 /// \file
 /// Every line is a JSON object with the time, the severity, the host, the name
-/// of the event and its fields. glog writes and rotates the files.
+/// of the event and its fields. spdlog writes and rotates the files.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -28,7 +28,9 @@
 struct LogOptions {
   /// Added to every line.
   std::string Host;
-  /// Folder of the log files; empty to log to standard error.
+  /// Folder of the log files; empty to log to standard error. It is made if it
+  /// doesn't exist. Where no file can be opened in it, standard error says so
+  /// and gets the lines.
   std::string Folder;
   Severity MinSeverity = Severity::Info;
   /// Writes lines to standard output, through a LogWriter, instead.
@@ -36,12 +38,10 @@
 };
 
 /// Configures the log. Must be called once, before the first line is written
-/// and before other threads start.
+/// and before other threads start. No line stays in the process: the end of the
+/// process, however it comes, loses none.
 void startLog(const LogOptions &Options);
 
-/// Writes the lines that glog still buffers.
-void flushLog();
-
 /// Writes one line about \p Event unless \p Level is below the minimum
 /// severity.
 void logEvent(Severity Level, std::string_view Event,
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -18,6 +18,7 @@
 std::span<const LogEventRule> logVocabulary() {
   static const std::vector<LogEventRule> Rules = {
       {"start", {"role", "first_start"}},
+      {"log-folder-unusable", {"folder", "error"}},
       {"start-waits", {"cause", "limit_ms"}},
       {"task-failed", {"task", "cause", "action", "omitted"}},
       {"stop", {"role"}},
--- a/Meta/setup.sh
+++ b/Meta/setup.sh
@@ -2,7 +2,7 @@
 
 PACKAGES=(
   g++ clang clang-format clang-tidy cmake ninja-build ccache mold
-  libboost1.81-dev libnghttp2-dev libgoogle-glog-dev libcli11-dev
+  libboost1.81-dev libnghttp2-dev libspdlog-dev libfmt-dev libcli11-dev
   libprotobuf-dev protobuf-compiler libxxhash-dev libsodium-dev libssl-dev
   zlib1g-dev
   libgtest-dev libgmock-dev librapidcheck-dev libclang-rt-14-dev
