--- a/Meta/build-architectures.sh
+++ b/Meta/build-architectures.sh
@@ -94,18 +94,21 @@
 }
 
 check_binary() { # check_binary ARCHITECTURE FILE
-  local arch=$1 file=$2 machine name
+  local arch=$1 file=$2 machine name needed
   [ -x "$file" ] || fail "$arch" "the build made no $file"
   machine=$(readelf -h "$file" | sed -nE 's/^ *Machine: *//p')
   [ "$machine" = "${MACHINES[$arch]}" ] ||
     fail "$arch" "the binary is for $machine"
+  mapfile -t needed < <(readelf -d "$file" |
+    sed -nE 's/.*\(NEEDED\).*\[(.*)\]/\1/p')
+  [ ${#needed[@]} -gt 0 ] || fail "$arch" "the binary loads not even libc"
   # The first instruction waits for each library that is loaded before it.
-  while read -r name; do
+  for name in "${needed[@]}"; do
     case $name in
     libc.so.6 | libm.so.6 | "${LOADERS[$arch]}") ;;
-    *) fail "$arch" "the binary loads $name, which is not a part of the C library" ;;
+    *) fail "$arch" "the binary loads $name, which is no part of the C library" ;;
     esac
-  done < <(readelf -d "$file" | sed -nE 's/.*\(NEEDED\).*\[(.*)\]/\1/p')
+  done
 }
 
 build_architecture() { # build_architecture ARCHITECTURE
