Tests: Draw random values in the same order on all architectures

What callers saw: nothing.

Cause: g++ 12 evaluates the arguments of a call from left to right on arm64 and from right to left on x86-64. Seen in the code that both compilers make of f(g(), h(), i()): bl g, h, i against call i, h, g. Two property tests drew two values in one call, so that the fixed seed gave other cases on x86-64.

Change: the values are named first, in the order of arm64, so that the cases there stay as they were. Meta/check-argument-order.py, a part of lint, finds such draws, and values that are moved from in one argument and used in another one.

It reads text, not types: a draw behind a function of another name is missed. The order on x86-64 is read in the code, not run.

--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -8,6 +8,7 @@
   grep -v '\.pb\.')
 clang-format --dry-run -Werror "${sources[@]}"
 python3 Meta/check-coroutines.py "${sources[@]}"
+python3 Meta/check-argument-order.py "${sources[@]}"
 
 stamps=Build/LintStamps
 mkdir -p "$stamps"
--- a/Tests/LibFleet/TestWarmUpShare.cpp
+++ b/Tests/LibFleet/TestWarmUpShare.cpp
@@ -37,9 +37,9 @@
   auto Budget = *rc::gen::inRange<std::uint32_t>(1, 30);
   std::vector<HostName> OldHosts =
       hosts(0, *rc::gen::inRange<std::uint32_t>(1, 6));
-  std::vector<HostName> NewHosts =
-      hosts(*rc::gen::inRange<std::uint32_t>(0, 4),
-            *rc::gen::inRange<std::uint32_t>(1, 6));
+  auto FirstNew = *rc::gen::inRange<std::uint32_t>(0, 4);
+  auto NewCount = *rc::gen::inRange<std::uint32_t>(1, 6);
+  std::vector<HostName> NewHosts = hosts(FirstNew, NewCount);
   std::vector<WarmUpShare> Shares;
   std::vector<TimePoint> ChangeAt;
   for (const HostName &Self : hosts(0, 10)) {
--- a/Tests/LibRouting/TestReturnTime.cpp
+++ b/Tests/LibRouting/TestReturnTime.cpp
@@ -63,9 +63,10 @@
     Return.recordArrival(Now, *rc::gen::arbitrary<bool>());
   }
   Duration Remaining = Millisecond * *rc::gen::inRange(1, 10000);
-  Duration Estimate = Return.estimate(
-      Now, RefusalCause::NoCapacity, Millisecond * *rc::gen::inRange(0, 2000),
-      Remaining, *rc::gen::inRange(0, 100) / 100.0);
+  Duration Objective = Millisecond * *rc::gen::inRange(0, 2000);
+  double Random = *rc::gen::inRange(0, 100) / 100.0;
+  Duration Estimate = Return.estimate(Now, RefusalCause::NoCapacity, Objective,
+                                      Remaining, Random);
   RC_ASSERT(Estimate >= Duration::zero());
   RC_ASSERT(Estimate <= Remaining / 3 + 1 * Millisecond);
 }
