Meta: Leave no foreign sources below the work tree

Cause: Meta/build-architectures.sh kept the unpacked packages.

Change: it removes them, and the copy of the sources, when it ends; the logs stay.

--- a/Meta/build-architectures.sh
+++ b/Meta/build-architectures.sh
@@ -111,6 +111,12 @@
   done
 }
 
+# Only the logs stay: what reads all sources below this folder must not find
+# those of other projects, or these a second time.
+remove_trees() {
+  rm -rf Build/Architectures/*/{root,source,cache,state}
+}
+
 build_architecture() { # build_architecture ARCHITECTURE
   local arch=$1 folder=$PWD/Build/Architectures/$1
   local packages
@@ -129,6 +135,7 @@
 }
 
 [ $# -gt 0 ] || set -- amd64 arm64
+trap remove_trees EXIT
 for arch in "$@"; do
   [ -n "${TRIPLETS[$arch]:-}" ] || fail "$arch" "unknown; amd64 or arm64"
   [ "$arch" = "$(dpkg --print-architecture)" ] ||
