--- a/Meta/build-architectures.sh
+++ b/Meta/build-architectures.sh
@@ -26,7 +26,7 @@
 print(value if isinstance(value, str) else "\n".join(value))' "$1"
 }
 
-# Unpacks packages with all that they depend on into FOLDER/root. Nothing of it
+# Unpacks packages with all that they depend on into FOLDER/sysroot. Nothing of it
 # is installed on this machine, and nothing installed here is seen in it.
 unpack_packages() { # unpack_packages ARCHITECTURE FOLDER PACKAGE...
   local arch=$1 folder=$2 archive link name
@@ -49,20 +49,20 @@
       "$@" >"$folder/apt.log" 2>&1 ||
     { cat "$folder/apt.log" >&2 || true
       fail "$arch" "these packages can't be had: $*"; }
-  rm -rf "$folder/root"
+  rm -rf "$folder/sysroot"
   # A merged /usr: packages name files below both.
   for name in lib lib64; do
-    mkdir -p "$folder/root/usr/$name"
-    ln -s "usr/$name" "$folder/root/$name"
+    mkdir -p "$folder/sysroot/usr/$name"
+    ln -s "usr/$name" "$folder/sysroot/$name"
   done
   for archive in "$folder"/cache/archives/*.deb; do
     dpkg-deb --fsys-tarfile "$archive" |
-      tar -x -C "$folder/root" --keep-directory-symlink
+      tar -x -C "$folder/sysroot" --keep-directory-symlink
   done
   # What a link names from / on stands below the new root.
   while IFS= read -r -d '' link; do
-    ln -sfn "$folder/root$(readlink "$link")" "$link"
-  done < <(find "$folder/root" -type l -lname '/*' -print0)
+    ln -sfn "$folder/sysroot$(readlink "$link")" "$link"
+  done < <(find "$folder/sysroot" -type l -lname '/*' -print0)
 }
 
 write_toolchain() { # write_toolchain ARCHITECTURE FOLDER
@@ -70,10 +70,10 @@
   cat >"$folder/toolchain.cmake" <<END
 set(CMAKE_SYSTEM_NAME Linux)
 set(CMAKE_SYSTEM_PROCESSOR ${triplet%%-*})
-set(CMAKE_SYSROOT $folder/root)
+set(CMAKE_SYSROOT $folder/sysroot)
 set(CMAKE_LIBRARY_ARCHITECTURE $triplet)
 set(CMAKE_CXX_COMPILER $triplet-g++)
-set(CMAKE_FIND_ROOT_PATH $folder/root)
+set(CMAKE_FIND_ROOT_PATH $folder/sysroot)
 set(CMAKE_FIND_ROOT_PATH_MODE_PROGRAM NEVER)
 set(CMAKE_FIND_ROOT_PATH_MODE_LIBRARY ONLY)
 set(CMAKE_FIND_ROOT_PATH_MODE_INCLUDE ONLY)
@@ -114,7 +114,7 @@
 # Only the logs stay: what reads all sources below this folder must not find
 # those of other projects, or these a second time.
 remove_trees() {
-  rm -rf Build/Architectures/*/{root,source,cache,state}
+  rm -rf Build/Architectures/*/{sysroot,source,cache,state}
 }
 
 build_architecture() { # build_architecture ARCHITECTURE
