LibFormation: Call an engine lost by evidence, not by one unanswered probe

A probe now ends as answered, refused or unanswered. Only a refused connection makes an engine lost at once; HttpClient tells it from a timeout and from a connection that was made and reset. Unanswered probes are a silence from the first of them on. The engine is probed again every 600 ms, and once more MaxSoundSilence after the first; it is lost after EndingSilence without a report, an answer or progress. Its group stays suspect until then if an entry host reported a stall.

Silence is evidence only while this process can hear. A pause between the detector's calls is taken off all silences, and probes that waited during it say nothing. While more than half of the engines that aren't lost are silent, silence counts as an end after twice the bound, so that a failure domain that is really dead is still given up.

A dark engine is lost at most 3.7 s after its last report: it is overdue after 1.6 s, has EndingSilence from the first question on, and a tick passes each until it is asked first, is asked last and is judged.

--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -104,7 +104,8 @@
 void GroupCoordinator::updateLostEngines(TimePoint Now) {
   for (const EndpointName &Id : this->FailureDetector.enginesToProbe(Now))
     this->probe(Id);
-  std::set<EndpointName> Lost = this->FailureDetector.lostEngines(Now);
+  std::map<EndpointName, EngineLoss> Lost =
+      this->FailureDetector.lostEngines(Now);
   for (const auto &[Id, Record] : this->Engines.all()) {
     bool WasLost = this->Planner.isLost(Id);
     if (Lost.contains(Id) == WasLost)
@@ -174,12 +175,14 @@
     Answer = co_await this->Client.fetch(std::move(Address), std::move(Request),
                                          std::move(Options), MaxAnswerBytes);
   } catch (...) {
-    this->FailureDetector.probeFailed(monotonicNow(), Id);
+    this->FailureDetector.probeSkipped(Id);
     throw;
   }
   this->recordLimit(Id, Answer.Limit);
+  if (Answer.ConnectionRefused)
+    co_return this->FailureDetector.probeRefused(monotonicNow(), Id);
   if (Answer.Outcome != HttpCallOutcome::Complete)
-    co_return this->FailureDetector.probeFailed(monotonicNow(), Id);
+    co_return this->FailureDetector.probeUnanswered(monotonicNow(), Id);
   this->FailureDetector.probeAnswered(monotonicNow(), Id);
   this->recordAnswer(SentAt, Id, Answer.Head);
 }
--- a/Libraries/LibFormation/EngineFailureDetector.cpp
+++ b/Libraries/LibFormation/EngineFailureDetector.cpp
@@ -1,6 +1,7 @@
 //===- LibFormation/EngineFailureDetector.cpp - Detects lost engines ------===//
 
 #include <LibFormation/EngineFailureDetector.h>
+#include <algorithm>
 
 namespace carobhinge {
 
@@ -37,17 +38,69 @@
 bool EngineFailureDetector::isSuspect(TimePoint Now,
                                       const GroupName &Group) const {
   auto Stall = this->LastStall.find(Group);
-  if (Stall == this->LastStall.end() ||
-      Now - Stall->second > this->Options.SuspicionTimeout)
+  if (Stall == this->LastStall.end())
     return false;
   auto Found = this->LastProgress.find(Group);
-  return Found == this->LastProgress.end() ||
-         Found->second.EventAt < Stall->second;
+  if (Found != this->LastProgress.end() &&
+      Found->second.EventAt >= Stall->second)
+    return false;
+  if (Now - Stall->second <= this->Options.SuspicionTimeout)
+    return true;
+  return std::ranges::any_of(this->Contacts, [&](const auto &Entry) {
+    const EngineRecord *Record = this->Engines.find(Entry.first);
+    return Entry.second.SilentSince && Record != nullptr &&
+           Record->Report.Group && Record->Report.Group->Group == Group;
+  });
+}
+
+std::pair<TimePoint, SignOfLife>
+EngineFailureDetector::lastHeard(const EngineRecord &Record,
+                                 const Contact &State) const {
+  std::pair Heard(Record.LastReportAt, SignOfLife::Report);
+  if (State.AnsweredAt > Heard.first)
+    Heard = {State.AnsweredAt, SignOfLife::Answer};
+  if (!Record.Report.Group)
+    return Heard;
+  auto Found = this->LastProgress.find(Record.Report.Group->Group);
+  if (Found != this->LastProgress.end() &&
+      Found->second.Epoch == Record.Report.Group->Epoch &&
+      Found->second.EventAt > Heard.first)
+    Heard = {Found->second.EventAt, SignOfLife::Progress};
+  return Heard;
+}
+
+void EngineFailureDetector::update(const EngineRecord &Record,
+                                   Contact &State) const {
+  // Other members may finish an event after one has ended.
+  bool IsRefused = State.Loss && State.Loss->Reason == LossReason::Refused;
+  TimePoint HeardAt =
+      IsRefused ? Record.LastReportAt : this->lastHeard(Record, State).first;
+  if (!State.SilentSince || HeardAt <= *State.SilentSince)
+    return;
+  State.SilentSince.reset();
+  State.Loss.reset();
+}
+
+void EngineFailureDetector::recordCall(TimePoint Now) {
+  Duration Pause = this->LastCallAt ? Now - *this->LastCallAt : Duration();
+  this->LastCallAt = Now;
+  if (Pause <= this->Options.MaxCallInterval)
+    return;
+  for (auto &[Id, State] : this->Contacts) {
+    State.Void = State.Waiting;
+    if (!State.SilentSince || State.Loss)
+      continue;
+    *State.SilentSince += Pause;
+    State.LastUnansweredAt += Pause;
+  }
 }
 
 std::vector<EndpointName> EngineFailureDetector::enginesToProbe(TimePoint Now) {
+  this->recordCall(Now);
   std::vector<EndpointName> EnginesDue;
   for (const auto &[Id, Record] : this->Engines.all()) {
+    Contact &State = this->Contacts[Id];
+    this->update(Record, State);
     Duration Age = Now - Record.LastReportAt;
     bool Overdue =
         Age > this->Options.ReportInterval + this->Options.ReportMargin;
@@ -57,53 +110,98 @@
       Stalled = Found != this->LastStall.end() &&
                 Now - Found->second < this->Options.ProbeInterval;
     }
-    if ((!Overdue && !Stalled) || this->hasRecentProgress(Now, Record))
+    if ((!Overdue && !Stalled && !State.SilentSince) ||
+        this->hasRecentProgress(Now, Record) || State.Waiting)
       continue;
-    Probe &State = this->Probes[Id];
-    Duration Interval = State.FailedAt ? this->Options.LostProbeInterval
-                                       : this->Options.ProbeInterval;
-    if (State.Waiting || Now - State.SentAt < Interval)
+    Duration Interval = State.Loss ? this->Options.LostProbeInterval
+                                   : this->Options.ProbeInterval;
+    TimePoint DueAt = State.AskedAt + Interval;
+    if (State.SilentSince && !State.Loss) {
+      TimePoint LastDueAt = *State.SilentSince + MaxSoundSilence;
+      // No earlier probe may still wait when the last one is due.
+      if (State.AskedAt < LastDueAt &&
+          (DueAt > LastDueAt || Now + this->Options.ProbeTimeout > LastDueAt))
+        DueAt = LastDueAt;
+    }
+    if (Now < DueAt)
       continue;
-    State.SentAt = Now;
+    State.AskedAt = Now;
     State.Waiting = true;
+    State.Void = false;
     EnginesDue.push_back(Id);
   }
   return EnginesDue;
 }
 
-void EngineFailureDetector::probeAnswered(TimePoint, const EndpointName &Id) {
-  Probe &State = this->Probes[Id];
+void EngineFailureDetector::probeAnswered(TimePoint Now,
+                                          const EndpointName &Id) {
+  Contact &State = this->Contacts[Id];
   State.Waiting = false;
-  State.FailedAt.reset();
+  State.AnsweredAt = Now;
+  State.SilentSince.reset();
+  State.Loss.reset();
 }
 
-void EngineFailureDetector::probeFailed(TimePoint Now, const EndpointName &Id) {
-  Probe &State = this->Probes[Id];
+void EngineFailureDetector::probeRefused(TimePoint Now,
+                                         const EndpointName &Id) {
+  Contact &State = this->Contacts[Id];
   State.Waiting = false;
-  if (!State.FailedAt)
-    State.FailedAt = Now;
+  State.SilentSince = Now;
+  const EngineRecord *Record = this->Engines.find(Id);
+  if (Record == nullptr)
+    return;
+  auto [HeardAt, HeardBy] = this->lastHeard(*Record, State);
+  State.Loss = {.Reason = LossReason::Refused,
+                .Since = State.AskedAt,
+                .HeardAt = HeardAt,
+                .HeardBy = HeardBy};
+}
+
+void EngineFailureDetector::probeUnanswered(TimePoint Now,
+                                            const EndpointName &Id) {
+  this->recordCall(Now);
+  Contact &State = this->Contacts[Id];
+  State.Waiting = false;
+  if (std::exchange(State.Void, false))
+    return;
+  if (!State.SilentSince)
+    State.SilentSince = State.AskedAt;
+  State.LastUnansweredAt = State.AskedAt;
 }
 
 void EngineFailureDetector::probeSkipped(const EndpointName &Id) {
-  this->Probes[Id].Waiting = false;
+  this->Contacts[Id].Waiting = false;
 }
 
-std::set<EndpointName> EngineFailureDetector::lostEngines(TimePoint Now) {
-  std::set<EndpointName> Lost;
-  std::erase_if(this->Probes, [&](const auto &Entry) {
+std::map<EndpointName, EngineLoss>
+EngineFailureDetector::lostEngines(TimePoint Now) {
+  this->recordCall(Now);
+  std::erase_if(this->Contacts, [&](const auto &Entry) {
     return this->Engines.find(Entry.first) == nullptr;
   });
-  for (auto &[Id, State] : this->Probes) {
-    if (!State.FailedAt)
-      continue;
-    const EngineRecord &Record = *this->Engines.find(Id);
-    // The engine has reported since the failed probe.
-    if (Record.LastReportAt > *State.FailedAt) {
-      State.FailedAt.reset();
-      continue;
+  std::size_t Present = 0;
+  std::size_t Silent = 0;
+  for (auto &[Id, State] : this->Contacts) {
+    this->update(*this->Engines.find(Id), State);
+    Present += State.Loss ? 0 : 1;
+    Silent += !State.Loss && State.SilentSince ? 1 : 0;
+  }
+  Duration Bound =
+      2 * Silent > Present ? this->Options.CommonEndingSilence : EndingSilence;
+  std::map<EndpointName, EngineLoss> Lost;
+  for (auto &[Id, State] : this->Contacts) {
+    // The last question must have been asked when a sound engine would have
+    // spoken again.
+    if (!State.Loss && State.SilentSince && Now - *State.SilentSince >= Bound &&
+        State.LastUnansweredAt - *State.SilentSince >= Bound - SilenceMargin) {
+      auto [HeardAt, HeardBy] = this->lastHeard(*this->Engines.find(Id), State);
+      State.Loss = {.Reason = LossReason::Silent,
+                    .Since = *State.SilentSince,
+                    .HeardAt = HeardAt,
+                    .HeardBy = HeardBy};
     }
-    if (!this->hasRecentProgress(Now, Record))
-      Lost.insert(Id);
+    if (State.Loss)
+      Lost.emplace(Id, *State.Loss);
   }
   return Lost;
 }
--- a/Libraries/LibFormation/EngineFailureDetector.h
+++ b/Libraries/LibFormation/EngineFailureDetector.h
@@ -2,19 +2,25 @@
 ///
 /// \file
 /// Detects lost engines. An overdue heartbeat, or entry hosts whose streams
-/// from the engine's group have stalled, lead to a probe of the engine. An
-/// engine that doesn't answer the probe is lost, unless its group still makes
-/// progress: then only the control hosts can't reach it.
+/// from the engine's group have stalled, lead to a probe of the engine. One
+/// that refuses the connection is lost at once. One that doesn't answer is in
+/// doubt: it is probed again, and is lost once it was silent for EndingSilence.
+/// A report, an answer or progress of its group ends the doubt.
+///
+/// Silence is evidence only while this process can hear. Time in which it
+/// stood still doesn't count, and silence of most engines at once is more
+/// likely that of the links of this host, so that it has to last longer.
 ///
 //===----------------------------------------------------------------------===//
 
 #ifndef LIBFORMATION_ENGINEFAILUREDETECTOR_H
 #define LIBFORMATION_ENGINEFAILUREDETECTOR_H
 
+#include <LibCore/Silence.h>
 #include <LibFormation/EngineRegistry.h>
 #include <map>
-#include <set>
-#include <span>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace carobhinge {
@@ -26,21 +32,48 @@
   /// Time after ReportInterval until an engine is probed. Heartbeats are sent
   /// with some jitter and forwarded in batches.
   Duration ReportMargin = std::chrono::milliseconds(400);
-  /// Time after which an unanswered probe has failed. A running engine answers
-  /// within a few milliseconds.
-  Duration ProbeTimeout = std::chrono::milliseconds(200);
-  /// Shortest interval between two probes of an engine that answers.
+  /// Time after which a probe has no answer. A running engine answers within a
+  /// few milliseconds.
+  Duration ProbeTimeout = SilenceMargin;
+  /// Shortest interval between two probes of an engine that isn't lost, except
+  /// that a doubt is resolved by a probe MaxSoundSilence after its start.
   Duration ProbeInterval = std::chrono::milliseconds(600);
-  /// Shortest interval between two probes of an engine that didn't answer. It
-  /// is longer because the next heartbeat shows sooner that the engine has
-  /// recovered, and because a whole failure domain may be unreachable.
+  /// Shortest interval between two probes of a lost engine. It is longer
+  /// because the next heartbeat shows sooner that the engine has recovered, and
+  /// because a whole failure domain may be unreachable.
   Duration LostProbeInterval = std::chrono::milliseconds(2000);
-  /// Longest time that a group stays suspect after a stall was reported. By
-  /// then the probes of its members have been answered or have failed.
+  /// Time that a group stays suspect after a stall was reported, if no member
+  /// is in doubt. By then the first probes of all members have ended.
   Duration SuspicionTimeout = std::chrono::milliseconds(700);
   /// A group counts as complete if its last event is more recent than this and
   /// no stall was reported since. Entry hosts report twice a second.
   Duration MaxProgressAge = std::chrono::milliseconds(1000);
+  /// A longer pause between two calls of the detector is time in which this
+  /// process stood still. It is called ten times a second.
+  Duration MaxCallInterval = std::chrono::milliseconds(300);
+  /// Silence after which an engine is lost while more than half of the engines
+  /// are silent.
+  Duration CommonEndingSilence = 2 * EndingSilence;
+};
+
+/// Why an engine is lost.
+enum class LossReason {
+  /// Nothing listens at its address.
+  Refused,
+  /// It was silent for too long.
+  Silent,
+};
+
+/// What an engine was last heard by.
+enum class SignOfLife { Report, Answer, Progress };
+
+/// The evidence that an engine has ended.
+struct EngineLoss {
+  LossReason Reason = LossReason::Silent;
+  /// When the refused probe, or the first of the unanswered ones, was sent.
+  TimePoint Since;
+  TimePoint HeardAt;
+  SignOfLife HeardBy = SignOfLife::Report;
 };
 
 /// Decides which engines to probe and which are lost.
@@ -64,24 +97,34 @@
   [[nodiscard]] bool isSuspect(TimePoint Now, const GroupName &Group) const;
 
   /// \returns the engines to probe now. The caller reports the outcome of each
-  /// probe by probeAnswered(), probeFailed() or probeSkipped().
+  /// probe by one of the four functions below.
   [[nodiscard]] std::vector<EndpointName> enginesToProbe(TimePoint Now);
   void probeAnswered(TimePoint Now, const EndpointName &Id);
-  void probeFailed(TimePoint Now, const EndpointName &Id);
+  /// The connection was refused.
+  void probeRefused(TimePoint Now, const EndpointName &Id);
+  /// The probe timed out, or its connection was lost after it had been made: an
+  /// engine over its limit of connections resets them too.
+  void probeUnanswered(TimePoint Now, const EndpointName &Id);
   /// The engine was not probed, which says nothing about it.
   void probeSkipped(const EndpointName &Id);
 
   /// \returns the engines that are considered lost at \p Now.
-  [[nodiscard]] std::set<EndpointName> lostEngines(TimePoint Now);
+  [[nodiscard]] std::map<EndpointName, EngineLoss> lostEngines(TimePoint Now);
 
 private:
-  /// State of the probes of one engine.
-  struct Probe {
+  /// What is known of one engine beside its reports.
+  struct Contact {
     /// When the last probe was sent.
-    TimePoint SentAt;
+    TimePoint AskedAt;
     bool Waiting = false;
-    /// When a probe failed, if no report has arrived since.
-    std::optional<TimePoint> FailedAt;
+    /// This process stood still while the probe was waiting.
+    bool Void = false;
+    TimePoint AnsweredAt;
+    /// When the first and the last of the unanswered probes were sent since the
+    /// engine was last heard.
+    std::optional<TimePoint> SilentSince;
+    TimePoint LastUnansweredAt;
+    std::optional<EngineLoss> Loss;
   };
 
   /// The newest event from a group.
@@ -93,10 +136,18 @@
   /// \returns whether the group of the engine makes progress with this engine.
   [[nodiscard]] bool hasRecentProgress(TimePoint Now,
                                        const EngineRecord &Record) const;
+  /// \returns when and by what the engine was last heard.
+  [[nodiscard]] std::pair<TimePoint, SignOfLife>
+  lastHeard(const EngineRecord &Record, const Contact &State) const;
+  /// Ends the doubt about an engine that was heard since.
+  void update(const EngineRecord &Record, Contact &State) const;
+  /// Takes the time in which this process stood still off all silences.
+  void recordCall(TimePoint Now);
 
   EngineFailureDetectorOptions Options;
   const EngineRegistry &Engines;
-  std::map<EndpointName, Probe> Probes;
+  std::map<EndpointName, Contact> Contacts;
+  std::optional<TimePoint> LastCallAt;
   std::map<GroupName, Progress> LastProgress;
   /// When a stall of each group was last reported.
   std::map<GroupName, TimePoint> LastStall;
--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -271,6 +271,7 @@
   /// The Keep-Alive timeout of the endpoint, if it sent one.
   std::optional<Duration> IdleTimeout;
   HttpCallLimit Limit = HttpCallLimit::None;
+  bool ConnectionRefused = false;
 };
 
 /// The times that a call has left, for each of its parts and for the whole.
@@ -509,6 +510,7 @@
     if (!Timer.expireAfter(Options.ConnectTimeout, HttpCallLimit::None))
       co_return HttpCallOutcome::NotWritten;
     auto [Error] = co_await Stream.async_connect(*Peer, UseTuple);
+    ReadResult.ConnectionRefused = Error == asio::error::connection_refused;
     if (Error)
       co_return HttpCallOutcome::NotWritten;
     beast::error_code Ignored;
@@ -575,6 +577,7 @@
   }
   Control.Shared->attach(nullptr);
   Control.Limit = ReadResult.Limit;
+  Control.ConnectionRefused = ReadResult.ConnectionRefused;
   // Other idle connections to this address may be stalled for the same reason,
   // so that the next calls open new ones.
   if (Outcome == HttpCallOutcome::Incomplete)
@@ -638,6 +641,7 @@
         co_await this->perform(std::move(Address), std::move(Request),
                                std::move(Options), Sink, Control);
     Result.Limit = Control.limit();
+    Result.ConnectionRefused = Control.isConnectionRefused();
     // A call that was given up ended by its cancellation.
     if (Result.Outcome == HttpCallOutcome::Incomplete && Held &&
         !Held->resize(Result.Body.size()))
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -107,11 +107,17 @@
 
   /// Returns the limit that ended the call. Read after the call has ended.
   [[nodiscard]] HttpCallLimit limit() const { return this->Limit; }
+  /// Returns whether the address refused the connection: nothing listens there.
+  /// Read after the call has ended.
+  [[nodiscard]] bool isConnectionRefused() const {
+    return this->ConnectionRefused;
+  }
 
 private:
   friend class HttpClient;
   class State;
   HttpCallLimit Limit = HttpCallLimit::None;
+  bool ConnectionRefused = false;
   std::shared_ptr<State> Shared;
 };
 
@@ -122,6 +128,8 @@
   std::string Body;
   /// The limit that ended the call.
   HttpCallLimit Limit = HttpCallLimit::None;
+  /// True if the address refused the connection: nothing listens there.
+  bool ConnectionRefused = false;
 };
 
 struct HttpClientOptions {
