LibFormation: Give no orders to a group that is only silent

A leader that didn't hear the members of a group took the group apart.

A group is now repaired or dissolved only if it is known to be broken: a member has refused a connection, left, started another life, was forgotten by the registry or says so itself, or it is silent while another member has been heard for EndingSilence. Otherwise the group is kept in a phase of its own, Silent: it gets no requests and no orders, and doesn't count as capacity. When its members are heard again with their old membership, it goes on. The members of a dead failure domain are forgotten by the registry as before, which ends their groups.

FormationWorld now says how an engine was lost: a crash refuses, a partition is silence. With the old rule put back for a trial, SilentGroupsGoOnWithoutOrders, MemberThatStaysSilentWhenOthersAreHeardIsReplaced and ForgottenEnginesEndTheirSilentGroup fail. RefusalOfOneMemberBreaksASilentGroup holds with both: it guards against keeping too much.

--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -113,7 +113,7 @@
     if (WasLost)
       this->Planner.markEngineFound(Now, Id);
     else
-      this->Planner.markEngineLost(Now, Id);
+      this->Planner.markEngineLost(Id, Lost.at(Id));
     logEvent(Severity::Info, WasLost ? "engine-found" : "engine-lost",
              {{"endpoint", Id},
               {"group",
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -96,8 +96,12 @@
   this->Groups[Name] = std::move(Group);
 }
 
-void FormationPlanner::markEngineLost(TimePoint Now, const EndpointName &Id) {
-  this->LostEngines.try_emplace(Id, Now);
+void FormationPlanner::markEngineLost(const EndpointName &Id,
+                                      const EngineLoss &Loss) {
+  auto [Known, IsNew] = this->LostEngines.try_emplace(Id, Loss);
+  // Silence doesn't take back a refusal.
+  if (!IsNew && Loss.Reason == LossReason::Refused)
+    Known->second = Loss;
 }
 
 void FormationPlanner::markEngineFound(TimePoint Now, const EndpointName &Id) {
@@ -121,6 +125,25 @@
          !this->LostEngines.contains(Id);
 }
 
+/// \returns whether a lost member may be sound and working in \p Group: it is
+/// only silent, and no other member was heard for EndingSilence meanwhile. Its
+/// silence may then be that of the links between the group and this host.
+bool FormationPlanner::mayBeSound(TimePoint Now, const EndpointName &Id,
+                                  const PlannedGroup &Group) const {
+  auto Lost = this->LostEngines.find(Id);
+  if (Lost == this->LostEngines.end() || this->Engines.find(Id) == nullptr ||
+      Lost->second.Reason != LossReason::Silent)
+    return false;
+  return std::ranges::none_of(Group.Members, [&](const EndpointName &Other) {
+    const EngineRecord *Record = this->Engines.find(Other);
+    auto Recovered = this->RecoveredAt.find(Other);
+    return Record != nullptr && !this->LostEngines.contains(Other) &&
+           Record->LastReportAt > Lost->second.Since &&
+           (Recovered == this->RecoveredAt.end() ||
+            Now - Recovered->second >= EndingSilence);
+  });
+}
+
 /// \returns whether the engine must not join a group now: it failed to join
 /// recently, or it hasn't reported since this host took over.
 bool FormationPlanner::isQuarantined(const EngineRecord &Record) const {
@@ -203,7 +226,8 @@
   std::erase_if(this->QuarantinedUntil,
                 [&](const auto &Entry) { return Entry.second <= Now; });
   std::erase_if(this->RecoveredAt, [&](const auto &Entry) {
-    return Now - Entry.second > this->Options.StabilizationTime;
+    return Now - Entry.second >
+           std::max(this->Options.StabilizationTime, EndingSilence);
   });
   this->releaseOrphans(Now);
   for (const Service &ServiceSpec : CurrentCatalog.Services)
@@ -222,6 +246,7 @@
     return this->advanceJoining(Now, ServiceSpec, Group);
   case GroupPhase::Open:
   case GroupPhase::Finishing:
+  case GroupPhase::Silent:
     return this->advanceOpen(Now, ServiceSpec, Group);
   case GroupPhase::Dissolving:
     return this->advanceDissolving(Now, Group);
@@ -231,7 +256,12 @@
 void FormationPlanner::advanceJoining(TimePoint Now, const Service &ServiceSpec,
                                       PlannedGroup &Group) {
   bool AllReady = true;
+  bool Silent = false;
   for (const EndpointName &Id : Group.Members) {
+    if (this->mayBeSound(Now, Id, Group)) {
+      Silent = true;
+      continue;
+    }
     if (!this->isUsable(Id))
       return this->repair(Now, ServiceSpec, Group);
     const GroupMembership *Member = this->findMembership(Id, Group);
@@ -240,6 +270,8 @@
     if (Member == nullptr || Member->State == MemberState::Joining)
       AllReady = false;
   }
+  if (Silent)
+    return;
   if (!AllReady) {
     if (Now < Group.ReadyDeadline)
       return;
@@ -272,7 +304,12 @@
       ServiceSpec.Engine->model(Group.Model)->GroupSize)
     return this->repair(Now, ServiceSpec, Group);
   bool Leaving = false;
+  bool Silent = false;
   for (const EndpointName &Id : Group.Members) {
+    if (this->mayBeSound(Now, Id, Group)) {
+      Silent = true;
+      continue;
+    }
     if (this->LostEngines.contains(Id) || this->Engines.find(Id) == nullptr)
       return this->repair(Now, ServiceSpec, Group);
     const EngineReport &Report = this->Engines.find(Id)->Report;
@@ -282,6 +319,13 @@
       return this->repair(Now, ServiceSpec, Group);
     Leaving = Leaving || Report.Leaving;
   }
+  if (Silent) {
+    if (Group.Phase != GroupPhase::Silent)
+      this->enterPhase(Now, Group, GroupPhase::Silent);
+    return;
+  }
+  if (Group.Phase == GroupPhase::Silent)
+    this->enterPhase(Now, Group, GroupPhase::Open);
   if (!Leaving)
     return;
   if (Group.Phase == GroupPhase::Open)
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -15,6 +15,9 @@
 ///   is never opened, so that its host has the weights ready.
 /// - An engine joins another group only after it has reported that it left its
 ///   previous group. A group that is dissolved orders all its members to leave.
+/// - A group is repaired or dissolved only if it is known to be broken. One
+///   whose members are all silent is kept until it is heard again, or until the
+///   registry forgets its members: its engines may be working undisturbed.
 ///
 /// The planner uses no clock and no sockets: the caller passes in the time, the
 /// reports and the lost engines, and sends the orders that it returns.
@@ -26,6 +29,7 @@
 
 #include <LibCatalog/Catalog.h>
 #include <LibFormation/EngineDivision.h>
+#include <LibFormation/EngineFailureDetector.h>
 #include <LibFormation/EngineOrder.h>
 #include <LibFormation/EngineRegistry.h>
 #include <map>
@@ -69,6 +73,9 @@
   Open,
   /// A member is leaving: running requests are finished, no others are sent.
   Finishing,
+  /// A member is lost by silence, but no other one was heard all the while that
+  /// would show the group to be broken. Gets no requests and no orders.
+  Silent,
   /// The members are ordered to leave.
   Dissolving,
 };
@@ -114,7 +121,7 @@
   }
 
   /// Marks an engine as lost until markEngineFound().
-  void markEngineLost(TimePoint Now, const EndpointName &Id);
+  void markEngineLost(const EndpointName &Id, const EngineLoss &Loss);
   void markEngineFound(TimePoint Now, const EndpointName &Id);
   [[nodiscard]] bool isLost(const EndpointName &Id) const {
     return this->LostEngines.contains(Id);
@@ -229,6 +236,8 @@
                                   std::span<const EndpointName> Members) const;
 
   [[nodiscard]] bool isUsable(const EndpointName &Id) const;
+  [[nodiscard]] bool mayBeSound(TimePoint Now, const EndpointName &Id,
+                                const PlannedGroup &Group) const;
   [[nodiscard]] bool isQuarantined(const EngineRecord &Record) const;
   [[nodiscard]] const GroupMembership *
   findMembership(const EndpointName &Id, const PlannedGroup &Group) const;
@@ -259,8 +268,7 @@
   std::map<GroupName, PlannedGroup> Groups;
   /// Groups of one engine that are never opened, by engine.
   std::map<EndpointName, PlannedGroup> Reserves;
-  /// Lost engines and when they were lost.
-  std::map<EndpointName, TimePoint> LostEngines;
+  std::map<EndpointName, EngineLoss> LostEngines;
   /// When lost engines were found again.
   std::map<EndpointName, TimePoint> RecoveredAt;
   /// Engines that failed to join and aren't used until the given time.
--- a/Libraries/LibFormation/FormationPools.cpp
+++ b/Libraries/LibFormation/FormationPools.cpp
@@ -160,7 +160,7 @@
 /// A model without a configured share still needs engines.
 static constexpr double MinShare = 0.05;
 
-/// \returns the models of the service and all groups that aren't dissolving.
+/// \returns the models of the service and all groups that serve or will.
 EngineDivision
 FormationPlanner::currentDivision(const Service &ServiceSpec) const {
   std::vector<ModelDemand> Models;
@@ -171,6 +171,7 @@
   EngineDivision Division(std::move(Models));
   for (const auto &[Name, Group] : this->Groups) {
     if (Group.Service != ServiceSpec.Name ||
+        Group.Phase == GroupPhase::Silent ||
         Group.Phase == GroupPhase::Dissolving)
       continue;
     const EngineRecord *Head = this->Engines.find(Group.head());
--- a/Tests/LibFormation/FormationWorld.cpp
+++ b/Tests/LibFormation/FormationWorld.cpp
@@ -97,13 +97,17 @@
 void FormationWorld::crash(const EndpointName &Id) {
   this->Engines.at(Id).Alive = false;
   this->Pool.setRunning(Id, false);
-  this->Planner->markEngineLost(this->Now, Id);
+  this->Planner->markEngineLost(Id, {.Reason = LossReason::Refused,
+                                     .Since = this->Now,
+                                     .HeardAt = this->Now});
 }
 
 void FormationWorld::setPartitioned(const EndpointName &Id, bool Disconnect) {
   this->Engines.at(Id).Partitioned = Disconnect;
   if (Disconnect)
-    this->Planner->markEngineLost(this->Now, Id);
+    this->Planner->markEngineLost(Id, {.Reason = LossReason::Silent,
+                                       .Since = this->Now,
+                                       .HeardAt = this->Now});
   else
     this->Planner->markEngineFound(this->Now, Id);
 }
--- a/Tests/LibFormation/TestFormationPlanner.cpp
+++ b/Tests/LibFormation/TestFormationPlanner.cpp
@@ -9,6 +9,7 @@
 
 #include "FormationWorld.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <random>
 #include <rapidcheck/gtest.h>
@@ -152,6 +153,119 @@
   EXPECT_TRUE(World.violations().empty());
 }
 
+/// \returns the orders since the first \p Before that aren't about reserves.
+static std::vector<EngineOrder> servingOrders(const FormationWorld &World,
+                                              std::size_t Before) {
+  std::vector<EngineOrder> Result;
+  for (std::size_t I = Before; I < World.Orders.size(); ++I)
+    if (!isReserveName(World.Orders[I].Group))
+      Result.push_back(World.Orders[I]);
+  return Result;
+}
+
+// Guards against orders to leave for engines that a leader didn't hear, and
+// that went on with their requests meanwhile.
+RC_GTEST_PROP(FormationPlanner, SilentGroupsGoOnWithoutOrders, ()) {
+  FormationWorld World;
+  startService(World);
+  std::size_t OrdersBefore = World.Orders.size();
+  std::vector<EndpointName> Silent;
+  std::vector<GroupName> Names;
+  for (const auto &[Name, Group] : World.Planner->groups())
+    if (*rc::gen::arbitrary<bool>()) {
+      Names.push_back(Name);
+      Silent.insert(Silent.end(), Group.Members.begin(), Group.Members.end());
+    }
+  auto Draw = [](int To) {
+    return std::chrono::milliseconds(100 * *rc::gen::inRange(0, To));
+  };
+  std::mt19937 Random(*rc::gen::arbitrary<unsigned>());
+  std::ranges::shuffle(Silent, Random);
+  // All of a group are silent before the first of them is called lost.
+  for (const EndpointName &Id : Silent)
+    World.Engines.at(Id).Partitioned = true;
+  World.run(Draw(20));
+  for (const EndpointName &Id : Silent)
+    World.setPartitioned(Id, true);
+  World.run(Draw(80));
+  for (const GroupName &Name : Names)
+    RC_ASSERT(World.Planner->groups().at(Name).Phase == GroupPhase::Silent ||
+              World.Planner->groups().at(Name).Phase == GroupPhase::Open);
+  // They are heard again within the time of a report of each other.
+  TimePoint FoundAt = World.Now;
+  for (const EndpointName &Id : Silent) {
+    if (World.Now - FoundAt < std::chrono::milliseconds(1200))
+      World.run(Draw(3));
+    World.setPartitioned(Id, false);
+  }
+  World.run(seconds(4));
+  RC_ASSERT(servingOrders(World, OrdersBefore).empty());
+  for (const GroupName &Name : Names)
+    RC_ASSERT(World.Planner->groups().at(Name).Phase == GroupPhase::Open);
+}
+
+// Guards against a group that waits for ever for the member that ended while
+// all of them were out of reach.
+TEST(FormationPlanner, MemberThatStaysSilentWhenOthersAreHeardIsReplaced) {
+  FormationWorld World;
+  startService(World);
+  EndpointName Victim = World.anyMemberExceptHead("large");
+  GroupName Name = World.Engines.at(Victim).Report.Group->Group;
+  std::vector<EndpointName> Members = World.Planner->groups().at(Name).Members;
+  for (const EndpointName &Id : Members)
+    World.setPartitioned(Id, true);
+  World.run(seconds(3));
+  EXPECT_EQ(World.Planner->groups().at(Name).Phase, GroupPhase::Silent);
+  for (const EndpointName &Id : Members)
+    if (Id != Victim)
+      World.setPartitioned(Id, false);
+  World.run(EndingSilence - std::chrono::milliseconds(100));
+  EXPECT_EQ(World.Planner->groups().at(Name).Phase, GroupPhase::Silent);
+  World.run(seconds(2));
+  EXPECT_EQ(World.Planner->groups().at(Name).Phase, GroupPhase::Open);
+  EXPECT_EQ(
+      std::ranges::count(World.Planner->groups().at(Name).Members, Victim), 0);
+  EXPECT_TRUE(World.violations().empty());
+}
+
+// Guards against a group that is kept although one of its silent members is
+// known to have ended.
+TEST(FormationPlanner, RefusalOfOneMemberBreaksASilentGroup) {
+  FormationWorld World;
+  startService(World);
+  EndpointName Victim = World.anyMemberExceptHead("large");
+  GroupName Name = World.Engines.at(Victim).Report.Group->Group;
+  std::vector<EndpointName> Members = World.Planner->groups().at(Name).Members;
+  for (const EndpointName &Id : Members)
+    World.setPartitioned(Id, true);
+  World.run(seconds(1));
+  World.crash(Victim);
+  World.run(seconds(1));
+  EXPECT_EQ(World.countOpenGroups("large"), 5);
+  EXPECT_FALSE(World.Planner->groups().contains(Name));
+}
+
+// Guards against a dead failure domain whose groups are never given up.
+TEST(FormationPlanner, ForgottenEnginesEndTheirSilentGroup) {
+  FormationWorld World;
+  startService(World);
+  std::set<GroupName> Names;
+  for (const auto &[Name, Group] : World.Planner->groups())
+    if (Group.Fabric.front() == 'a')
+      Names.insert(Name);
+  TimePoint CutAt = World.Now;
+  for (const auto &[Id, Engine] : World.Engines)
+    if (Engine.Report.Fabric.front() == 'a')
+      World.setPartitioned(Id, true);
+  World.run(seconds(10));
+  for (const GroupName &Name : Names)
+    EXPECT_EQ(World.Planner->groups().at(Name).Phase, GroupPhase::Silent);
+  World.Registry.expire(CutAt + seconds(1), CutAt + seconds(1));
+  World.run(seconds(1));
+  for (const GroupName &Name : Names)
+    EXPECT_FALSE(World.Planner->groups().contains(Name)) << Name;
+}
+
 TEST(FormationPlanner, ReconnectedEngineLeavesItsOldGroupFirst) {
   FormationWorld World;
   startService(World);
