LibStandIn: Let simulated endpoints stand still and go on

No simulated endpoint could be silent for a second and then go on where it was: a link either lost bytes, closed connections or delayed each read, and a stopped one ended its life. LinkStandIn::setHeld holds bytes, ends and new connections back and passes all of it on afterwards, independent of the link's mode. An endpoint that falls silent holds its link, sends no heartbeats and makes no progress; a group with a suspended member stalls, as it does with a missing one. EndpointSimulator::fallSilent does so for one endpoint, half of a group or a failure domain, records how long each silence truly was, and knows whether an endpoint went on in the same life.

--- a/Libraries/LibStandIn/EnginePool.cpp
+++ b/Libraries/LibStandIn/EnginePool.cpp
@@ -64,7 +64,8 @@
   return HeadMembership &&
          std::ranges::all_of(HeadMember.members(), [&](const EndpointName &Id) {
            auto Found = this->Engines.find(Id);
-           if (Found == this->Engines.end() || !Found->second.Running)
+           if (Found == this->Engines.end() || !Found->second.Running ||
+               Found->second.Suspended)
              return false;
            const auto &Membership = Found->second.Member.membership();
            return Membership && Membership->Group == HeadMembership->Group &&
--- a/Libraries/LibStandIn/EnginePool.h
+++ b/Libraries/LibStandIn/EnginePool.h
@@ -21,6 +21,9 @@
   void add(const EndpointName &Id, const EngineSpec &Spec) {
     this->Engines.try_emplace(Id, Entry{.Member = GroupMember(Spec)});
   }
+  [[nodiscard]] bool contains(const EndpointName &Id) const {
+    return this->Engines.contains(Id);
+  }
   GroupMember &member(const EndpointName &Id) {
     return this->Engines.at(Id).Member;
   }
@@ -34,10 +37,15 @@
     return this->Engines.at(Id).Running;
   }
 
+  /// A suspended engine runs, but does nothing until later.
+  void setSuspended(const EndpointName &Id, bool Suspended) {
+    this->Engines.at(Id).Suspended = Suspended;
+  }
+
   /// Passes \p Order to its engine and records violations of the rules.
   OrderResult executeOrder(TimePoint Now, const EngineOrder &Order);
-  /// Returns true if all members on the list of \p Head run and have finished
-  /// their join of its group and epoch.
+  /// Returns true if all members on the list of \p Head run, are not suspended
+  /// and have finished their join of its group and epoch.
   [[nodiscard]] bool isComplete(const EndpointName &Head) const;
 
   /// Returns the number of running engines that load weights from the weight
@@ -52,6 +60,7 @@
   struct Entry {
     GroupMember Member;
     bool Running = true;
+    bool Suspended = false;
   };
   /// Records a violation if \p PreviousGroup, which the engine left, is open.
   void checkJoin(const EngineOrder &Order, const GroupName &PreviousGroup);
--- a/Libraries/LibStandIn/LinkStandIn.cpp
+++ b/Libraries/LibStandIn/LinkStandIn.cpp
@@ -9,6 +9,7 @@
 #include <LibStandIn/LinkStandIn.h>
 
 #include <LibCore/JsonReader.h>
+#include <LibCore/Signal.h>
 #include <LibHTTP/Address.h>
 #include <algorithm>
 #include <array>
@@ -27,6 +28,8 @@
 namespace carobhinge {
 
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
+/// A held link is released by a signal; the wait for it needs some limit.
+static constexpr auto HeldCheckInterval = std::chrono::seconds(30);
 
 namespace {
 
@@ -55,7 +58,9 @@
   Implementation(const asio::any_io_executor &Executor,
                  const LinkStandInOptions &Options)
       : Executor(Executor), TargetAddress(parseAddress(Options.TargetAddress)),
-        Acceptor(Executor, parseAddress(Options.Listen), true) {
+        Acceptor(Executor, parseAddress(Options.Listen), true),
+        Released(Executor) {
+    this->Released.fire();
     if (!Options.Control.empty())
       this->Control.emplace(
           Executor, HttpServerOptions{.Listen = Options.Control},
@@ -67,6 +72,7 @@
   asio::awaitable<void> acceptLoop();
   void setMode(LinkMode Mode, Duration Delay);
   void setClientMode(const std::string &ClientIp, LinkMode Mode);
+  void setHeld(bool IsHeld);
 
   asio::any_io_executor Executor;
   const tcp::endpoint TargetAddress;
@@ -88,7 +94,11 @@
 
   /// The mode of \p Each: that of its client, if it has one.
   [[nodiscard]] LinkMode modeOf(const ProxiedConnection &Each) const;
+  /// Returns once the link is not held.
+  asio::awaitable<void> waitWhileHeld();
 
+  /// Fired unless the link is held.
+  Signal Released;
   LinkMode Mode = LinkMode::Pass;
   Duration Delay = Duration::zero();
   /// By IP address; never Pass.
@@ -120,6 +130,7 @@
 
 asio::awaitable<void> LinkStandIn::Implementation::connect(
     std::shared_ptr<ProxiedConnection> Connection) {
+  co_await this->waitWhileHeld();
   // The server sees the client's address, as it does without the link.
   boost::system::error_code Ignored;
   Connection->Server.open(this->TargetAddress.protocol(), Ignored);
@@ -149,6 +160,7 @@
   for (;;) {
     auto [ReadError, Count] =
         co_await Source.async_read_some(asio::buffer(Buffer), UseTuple);
+    co_await this->waitWhileHeld();
     if (ReadError)
       break;
     if (this->Delay > Duration::zero()) {
@@ -221,6 +233,18 @@
   }
 }
 
+void LinkStandIn::Implementation::setHeld(bool IsHeld) {
+  if (IsHeld)
+    this->Released.reset();
+  else
+    this->Released.fire();
+}
+
+asio::awaitable<void> LinkStandIn::Implementation::waitWhileHeld() {
+  while (!this->Released.fired())
+    co_await this->Released.wait(HeldCheckInterval);
+}
+
 void LinkStandIn::Implementation::setMode(LinkMode NewMode, Duration NewDelay) {
   this->Mode = NewMode;
   this->Delay = NewDelay;
@@ -282,6 +306,8 @@
   this->Impl->setMode(Mode, Delay);
 }
 
+void LinkStandIn::setHeld(bool IsHeld) { this->Impl->setHeld(IsHeld); }
+
 void LinkStandIn::setEndlessAnswers(const EndlessForm *Form) {
   this->Impl->EndlessAnswer = Form;
 }
--- a/Libraries/LibStandIn/LinkStandIn.h
+++ b/Libraries/LibStandIn/LinkStandIn.h
@@ -1,8 +1,8 @@
 //===- LibStandIn/LinkStandIn.h - A faulty network link for tests ---------===//
 ///
 /// \file
-/// A TCP proxy to one address that can reset connections, delay their bytes or
-/// drop them.
+/// A TCP proxy to one address that can reset connections, delay their bytes,
+/// drop them, or hold them back until later.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -58,6 +58,10 @@
   /// The same for the connections from \p ClientIp only; Pass ends that. Modes
   /// other than Pass, Cut and Blackhole have no effect.
   void setClientMode(const std::string &ClientIp, LinkMode Mode);
+  /// While \p IsHeld, existing and new connections pass on neither bytes nor
+  /// their end; all of it follows afterwards, in order. Independent of the
+  /// mode. Call on the executor's thread only.
+  void setHeld(bool IsHeld);
   /// From now on each answer of the server is replaced by the head of a chunked
   /// answer and \p Form, until the client closes; null ends that. Call on the
   /// executor's thread only.
--- a/Tests/PlatformWorld/EndpointSimulator.cpp
+++ b/Tests/PlatformWorld/EndpointSimulator.cpp
@@ -3,6 +3,7 @@
 #include <PlatformWorld/EndpointSimulator.h>
 
 #include <PlatformWorld/PlatformEndpoint.h>
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <future>
 
@@ -13,6 +14,8 @@
 static constexpr unsigned EndpointPort = 8300;
 /// The last byte of the first endpoint's IP address.
 static constexpr std::size_t FirstAddressByte = 100;
+/// How long hosts may take to learn of an end, or of what a silence was.
+static constexpr auto ContactTime = std::chrono::seconds(3);
 
 EndpointSimulator::EndpointSimulator(EndpointSimulatorOptions InitialOptions,
                                      ExecutionLog &Executions)
@@ -130,6 +133,70 @@
       [&](const EndpointAndHost &Pair) { return Pair.first == Name; });
 }
 
+void EndpointSimulator::fallSilent(std::size_t Index, SilenceScope Scope,
+                                   Duration Length) {
+  asio::post(this->Context, [this, Index, Scope, Length] {
+    PlatformEndpoint &First = *this->Endpoints.at(Index);
+    if (Scope == SilenceScope::FailureDomain) {
+      for (auto &Each : this->Endpoints)
+        if (Each->domain() == First.domain())
+          Each->fallSilent(Length);
+      return;
+    }
+    std::vector<EndpointName> Members;
+    if (Scope == SilenceScope::HalfGroup && this->Pool.contains(First.id()))
+      Members = this->Pool.member(First.id()).members();
+    auto Own = std::ranges::find(Members, First.id()) - Members.begin();
+    for (auto &Each : this->Endpoints) {
+      auto Rank = std::ranges::find(Members, Each->id()) - Members.begin();
+      bool IsMember = Rank < std::ssize(Members);
+      if (Each->id() == First.id() || (IsMember && Rank % 2 == Own % 2))
+        Each->fallSilent(Length);
+    }
+  });
+}
+
+void EndpointSimulator::recordLife(const EndpointName &Name, bool Begins) {
+  std::lock_guard Guard(this->ArrivalLock);
+  this->LifeChanges[Name].push_back({.At = monotonicNow(), .Begins = Begins});
+}
+
+void EndpointSimulator::recordSilence(const EndpointName &Name) {
+  std::lock_guard Guard(this->ArrivalLock);
+  this->Silences.push_back({.Endpoint = Name, .From = monotonicNow()});
+}
+
+void EndpointSimulator::recordSilenceEnd(const EndpointName &Name) {
+  std::lock_guard Guard(this->ArrivalLock);
+  auto Newest =
+      std::ranges::find(this->Silences.rbegin(), this->Silences.rend(), Name,
+                        &EndpointSilence::Endpoint);
+  Newest->Until = monotonicNow();
+}
+
+std::vector<EndpointSilence> EndpointSimulator::silences() const {
+  std::lock_guard Guard(this->ArrivalLock);
+  return this->Silences;
+}
+
+bool EndpointSimulator::wasSoundAt(
+    const EndpointName &Name,
+    std::chrono::sys_time<std::chrono::milliseconds> At, Duration Lag) const {
+  TimePoint Moment = monotonicNow() - (std::chrono::system_clock::now() - At);
+  std::lock_guard Guard(this->ArrivalLock);
+  bool WasTooLong = std::ranges::any_of(this->Silences, [&](const auto &Each) {
+    return Each.Endpoint == Name && !Each.isSound(Lag) && Each.From <= Moment &&
+           (Each.Until >= Moment || Moment - Each.Until < ContactTime);
+  });
+  bool IsSound = true;
+  if (auto Changes = this->LifeChanges.find(Name);
+      Changes != this->LifeChanges.end())
+    for (const LifeChange &Each : Changes->second)
+      if (Each.At <= Moment)
+        IsSound = Each.Begins && Moment - Each.At >= ContactTime;
+  return IsSound && !WasTooLong;
+}
+
 void EndpointSimulator::stopReports(std::size_t Index) {
   this->call(Index, &PlatformEndpoint::stopReports);
 }
--- a/Tests/PlatformWorld/EndpointSimulator.h
+++ b/Tests/PlatformWorld/EndpointSimulator.h
@@ -10,12 +10,14 @@
 #ifndef PLATFORMWORLD_ENDPOINTSIMULATOR_H
 #define PLATFORMWORLD_ENDPOINTSIMULATOR_H
 
+#include <LibCore/Silence.h>
 #include <LibStandIn/EnginePool.h>
 #include <LibStandIn/LinkStandIn.h>
 #include <PlatformWorld/ExecutionLog.h>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -48,6 +50,29 @@
   Duration PlainWork = std::chrono::milliseconds(10);
 };
 
+/// Which endpoints fall silent.
+enum class SilenceScope {
+  Alone,
+  /// Every other member of the endpoint's group.
+  HalfGroup,
+  /// All endpoints of its failure domain.
+  FailureDomain,
+};
+
+/// A time in which an endpoint stood still.
+struct EndpointSilence {
+  EndpointName Endpoint;
+  TimePoint From;
+  /// TimePoint::max() while it lasts.
+  TimePoint Until = TimePoint::max();
+
+  /// Whether the silence is within what a sound endpoint may show, if timers
+  /// run late by up to \p Lag.
+  [[nodiscard]] bool isSound(Duration Lag) const {
+    return this->Until < this->From + EndingSilence - Lag;
+  }
+};
+
 class EndpointSimulator {
 public:
   EndpointSimulator(EndpointSimulatorOptions Options, ExecutionLog &Executions);
@@ -74,6 +99,19 @@
   [[nodiscard]] std::size_t endlessAnswerBytes() const;
   /// Multiplies all times of the engine's groups by \p Factor.
   void slowDown(std::size_t Index, double Factor);
+  /// Endpoint \p Index, and others by \p Scope, stand still for \p Length: they
+  /// write nothing, send no heartbeats and read nothing that they are sent.
+  /// Afterwards they go on where they were. One that has just been silent goes
+  /// on instead.
+  void fallSilent(std::size_t Index, SilenceScope Scope, Duration Length);
+  /// The silences so far, as long as they were.
+  [[nodiscard]] std::vector<EndpointSilence> silences() const;
+  /// Whether endpoint \p Name had been sound for a while at \p At, and was no
+  /// longer silent then than it may be; it may have been behind a faulty link.
+  [[nodiscard]] bool
+  wasSoundAt(const EndpointName &Name,
+             std::chrono::sys_time<std::chrono::milliseconds> At,
+             Duration Lag) const;
   /// Announces that it is draining, keeps serving for a while, then stops.
   void drain(std::size_t Index);
   /// Two of three engines name a limit of \p PerSecond requests in their
@@ -138,6 +176,10 @@
   /// Ends the pauses and the leaving of some pairs; what came so far counts.
   void endRecords(const std::function<bool(const EndpointAndHost &)> &IsMeant);
   void call(std::size_t Index, void (PlatformEndpoint::*Action)());
+  /// Notes that a life of endpoint \p Name began, or is about to end.
+  void recordLife(const EndpointName &Name, bool Begins);
+  void recordSilence(const EndpointName &Name);
+  void recordSilenceEnd(const EndpointName &Name);
   void add(const FailureDomainName &Domain, const FabricDomainName &Fabric);
 
   const EndpointSimulatorOptions Options;
@@ -180,6 +222,13 @@
   };
   std::map<EndpointAndHost, LeavingRecord> Leavings;
   std::vector<std::pair<EndpointAndHost, LeavingRecord>> EndedLeavings;
+  struct LifeChange {
+    TimePoint At;
+    bool Begins = false;
+  };
+  /// Guarded by ArrivalLock.
+  std::map<EndpointName, std::vector<LifeChange>> LifeChanges;
+  std::vector<EndpointSilence> Silences;
   std::atomic<unsigned> CrashingArrivals = 0;
   std::atomic<unsigned> CrashedEngines = 0;
   std::atomic<std::size_t> EndlessBytes = 0;
--- a/Tests/PlatformWorld/PlatformEndpoint.cpp
+++ b/Tests/PlatformWorld/PlatformEndpoint.cpp
@@ -69,6 +69,7 @@
 
 void PlatformEndpoint::crash() {
   this->IsRunning = false;
+  this->Endpoints.recordLife(this->Id, false);
   if (this->isEngine())
     this->Endpoints.Pool.setRunning(this->Id, false);
   this->Link->setMode(LinkMode::Cut);
@@ -83,6 +84,7 @@
   this->LeavesInAnswers = false;
   this->StartedAtMs = wallMilliseconds();
   this->Sequence = 0;
+  this->Endpoints.recordLife(this->Id, true);
   this->Endpoints.endRecords(
       [this](const auto &Pair) { return Pair.first == this->Id; });
   if (this->isEngine()) {
@@ -101,6 +103,7 @@
 
 asio::awaitable<void> PlatformEndpoint::drainAndStop() {
   this->IsDraining = true;
+  this->Endpoints.recordLife(this->Id, false);
   this->Changed.fire();
   Signal Pause(this->Endpoints.Context.get_executor());
   co_await Pause.wait(DrainTime);
@@ -116,6 +119,34 @@
   this->restart();
 }
 
+void PlatformEndpoint::fallSilent(Duration Length) {
+  // Two silences with nothing between them are one that is too long.
+  bool WasSilent = this->SuspendedUntil != TimePoint::min() &&
+                   monotonicNow() < this->SuspendedUntil +
+                                        this->Endpoints.Options.ReportInterval;
+  if (this->IsSuspended || WasSilent)
+    return;
+  this->IsSuspended = true;
+  this->Endpoints.recordSilence(this->Id);
+  this->Link->setHeld(true);
+  if (this->isEngine())
+    this->Endpoints.Pool.setSuspended(this->Id, true);
+  asio::co_spawn(this->Endpoints.Context, this->goOnAfter(Length),
+                 asio::detached);
+}
+
+asio::awaitable<void> PlatformEndpoint::goOnAfter(Duration Length) {
+  Signal Pause(this->Endpoints.Context.get_executor());
+  co_await Pause.wait(Length);
+  this->IsSuspended = false;
+  this->SuspendedUntil = monotonicNow();
+  this->Endpoints.recordSilenceEnd(this->Id);
+  this->Link->setHeld(false);
+  if (this->isEngine())
+    this->Endpoints.Pool.setSuspended(this->Id, false);
+  this->Changed.fire();
+}
+
 bool PlatformEndpoint::isCrashing(const HttpRequest &Request) const {
   const std::string &Part = this->Endpoints.CrashingPart;
   if (Part.empty())
@@ -188,7 +219,7 @@
 asio::awaitable<void> PlatformEndpoint::reportLoop() {
   while (true) {
     this->Changed.reset();
-    if (this->IsRunning && !this->IsSilent)
+    if (this->IsRunning && !this->IsSilent && !this->IsSuspended)
       co_await this->reportOnce();
     co_await this->Changed.wait(this->Endpoints.Options.ReportInterval);
   }
@@ -259,7 +290,9 @@
 asio::awaitable<void> PlatformEndpoint::advanceLoop() {
   Signal Pause(this->Endpoints.Context.get_executor());
   while (true) {
-    if (this->IsRunning) {
+    if (this->IsSuspended && this->Model) {
+      this->Model->delayPass(AdvanceInterval);
+    } else if (this->IsRunning && !this->IsSuspended) {
       this->advanceMembership();
       this->advanceWork(monotonicNow());
     }
--- a/Tests/PlatformWorld/PlatformEndpoint.h
+++ b/Tests/PlatformWorld/PlatformEndpoint.h
@@ -29,9 +29,15 @@
   void crash();
   void restart();
   void drain();
+  /// Stands still for \p Length and then goes on where it was, with nothing
+  /// closed and nothing lost. Does nothing if it has been silent a moment ago.
+  void fallSilent(Duration Length);
   [[nodiscard]] const EndpointName &id() const { return this->Id; }
   [[nodiscard]] const FailureDomainName &domain() const { return this->Domain; }
-  void leaveInAnswersOnly() { this->LeavesInAnswers = true; }
+  void leaveInAnswersOnly() {
+    this->LeavesInAnswers = true;
+    this->Endpoints.recordLife(this->Id, false);
+  }
   void stopReports() { this->IsSilent = true; }
   /// Requests that arrived, but for health checks and orders.
   [[nodiscard]] unsigned arrivals() const { return this->Arrivals; }
@@ -65,6 +71,7 @@
   boost::asio::awaitable<bool> reportOnce();
   boost::asio::awaitable<void> drainAndStop();
   boost::asio::awaitable<void> crashAndRestart();
+  boost::asio::awaitable<void> goOnAfter(Duration Length);
   /// Whether the prompt of \p Request has the part that crashes engines, other
   /// than as its last part.
   [[nodiscard]] bool isCrashing(const HttpRequest &Request) const;
@@ -107,6 +114,10 @@
   bool LeavesInAnswers = false;
   /// Sends no heartbeats.
   bool IsSilent = false;
+  /// Stands still.
+  bool IsSuspended = false;
+  /// The end of the last time in which it stood still.
+  TimePoint SuspendedUntil = TimePoint::min();
   std::atomic<unsigned> Arrivals = 0;
   std::int64_t StartedAtMs;
   std::uint64_t Sequence = 0;
