Tests: Show that a second of silence ends answers

Guards against answers that end, and endpoints that are called lost or crashed, because sound endpoints were silent for 0.3 to 1.5 s beside changes of the configuration (docs/incidents/second-of-silence.md). LossCause::Silence excuses nothing.

--- a/Tests/PlatformLosses/TestLostRequestsCount.cpp
+++ b/Tests/PlatformLosses/TestLostRequestsCount.cpp
@@ -103,3 +103,20 @@
   Calls.front().EndedAt = at(13500);
   EXPECT_TRUE(Lost.review(Calls).Violations.empty());
 }
+
+TEST(LostRequestsCount, SilenceOfSoundEndpointsExcusesNothing) {
+  LostRequests Lost;
+  Lost.add(LossCause::Silence, std::nullopt, at(10000), at(11500));
+  CallRecord Unknown = lostCall(9000, 11600);
+  Unknown.IsLost = false;
+  EXPECT_TRUE(Lost.review(std::array{Unknown}).Violations.empty());
+  Unknown.IsUnknown = true;
+  EXPECT_EQ(Lost.review(std::array{Unknown}).Violations.size(), 1U);
+  // It may show until the contact time has passed.
+  EXPECT_EQ(Lost.review(std::array{lostCall(14400, 14500)}).Violations.size(),
+            1U);
+  EXPECT_TRUE(
+      Lost.review(std::array{lostCall(14600, 14700)}).Violations.empty());
+  Lost.add(LossCause::Fault, std::nullopt, at(9000), at(9500));
+  EXPECT_TRUE(Lost.review(std::array{Unknown}).Violations.empty());
+}
--- a/Tests/PlatformWorld/LogReader.cpp
+++ b/Tests/PlatformWorld/LogReader.cpp
@@ -30,6 +30,12 @@
          std::chrono::milliseconds(Number(20, 3));
 }
 
+bool LogSummary::ranOutOfTime(const std::string &Id) const {
+  auto Found = this->Requests.find(Id);
+  return Found != this->Requests.end() &&
+         Found->second.ends_with(": out of time");
+}
+
 LogSummary readLogs(std::span<const std::filesystem::path> Paths) {
   LogSummary Summary;
   for (const std::filesystem::path &Path : Paths) {
@@ -50,6 +56,11 @@
       json::value Value = json::parse(Line);
       std::string Event(Value.at("event").as_string());
       ++Summary.Events[Event];
+      if (Event == "engine-lost" || Event == "engine-crashed")
+        Summary.Alarms.push_back(
+            {.Event = Event,
+             .Endpoint = std::string(Value.at("endpoint").as_string()),
+             .At = lineTime(Value.at("time").as_string())});
       if (Event == "stop")
         StopAt = lineTime(Value.at("time").as_string());
       if (Event == "stopped")
--- a/Tests/PlatformWorld/LogReader.h
+++ b/Tests/PlatformWorld/LogReader.h
@@ -18,6 +18,13 @@
 
 namespace carobhinge {
 
+/// A log line by which a host took an endpoint for lost or crashed.
+struct EndpointAlarm {
+  std::string Event;
+  std::string Endpoint;
+  std::chrono::sys_time<std::chrono::milliseconds> At;
+};
+
 struct LogSummary {
   std::size_t Lines = 0;
   /// Descriptions of the invalid lines.
@@ -26,6 +33,9 @@
   std::map<std::string, std::string> Requests;
   /// The number of lines by event.
   std::map<std::string, unsigned> Events;
+  std::vector<EndpointAlarm> Alarms;
+  /// Whether request \p Id ended because its time had passed.
+  [[nodiscard]] bool ranOutOfTime(const std::string &Id) const;
   /// The longest time from a process's "stop" to its "stopped".
   std::chrono::milliseconds LongestStop{};
 };
--- a/Tests/PlatformWorld/LostRequests.cpp
+++ b/Tests/PlatformWorld/LostRequests.cpp
@@ -9,8 +9,9 @@
 namespace carobhinge {
 
 /// In the order of the enumerators of LossCause.
-static constexpr std::array<const char *, 6> CauseNames = {
-    "at its deadline", "fault", "stop", "reload", "change", "no cause"};
+static constexpr std::array<const char *, 7> CauseNames = {
+    "at its deadline", "fault",  "stop",    "reload",
+    "silence",         "change", "no cause"};
 
 static std::string_view nameOf(LossCause Cause) {
   return CauseNames[static_cast<std::size_t>(Cause)];
@@ -52,8 +53,9 @@
 }
 
 bool LostRequests::concerns(LossCause Cause, const CallRecord &Call) const {
-  Duration Before =
-      Cause == LossCause::Fault ? this->Rules.ContactTime : Duration::zero();
+  Duration Before = Cause == LossCause::Fault || Cause == LossCause::Silence
+                        ? this->Rules.ContactTime
+                        : Duration::zero();
   return std::ranges::any_of(this->Events, [&](const Event &Each) {
     return Each.Cause == Cause && (!Each.Host || Each.Host == Call.Host) &&
            Each.From <= Call.EndedAt && Each.Until >= Call.SentAt - Before;
@@ -64,7 +66,7 @@
   if (Call.EndedAt - Call.SentAt >= Call.Timeout)
     return LossCause::Deadline;
   for (LossCause Cause : {LossCause::Fault, LossCause::Stop, LossCause::Reload,
-                          LossCause::Change})
+                          LossCause::Silence, LossCause::Change})
     if (this->concerns(Cause, Call))
       return Cause;
   return LossCause::None;
@@ -87,7 +89,8 @@
     LossCause Cause = this->findCause(Call);
     CallsBesideChanges += Cause == LossCause::Change;
     CallsWithoutCause += Cause == LossCause::None;
-    if (!Call.IsLost)
+    bool IsUnknown = Call.IsUnknown && Cause == LossCause::Silence;
+    if (!Call.IsLost && !IsUnknown)
       continue;
     ++Summary.Lost[Cause];
     std::string Text =
@@ -96,9 +99,11 @@
         std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(Length)
                 .count()) +
-        " ms, " + (Call.IsExecuted ? "run" : "not run") +
+        " ms, " + (IsUnknown ? "unknown, " : "") +
+        (Call.IsExecuted ? "run" : "not run") +
         ", beside: " + std::string(nameOf(Cause));
-    if (Cause == LossCause::Stop || Cause == LossCause::Reload)
+    if (Cause == LossCause::Stop || Cause == LossCause::Reload ||
+        Cause == LossCause::Silence)
       Summary.Violations.push_back(Text);
     bool IsEarly = Length < std::chrono::duration_cast<Duration>(
                                 Call.Timeout * this->Rules.MaxTimeShare);
--- a/Tests/PlatformWorld/LostRequests.h
+++ b/Tests/PlatformWorld/LostRequests.h
@@ -21,7 +21,7 @@
 namespace carobhinge {
 
 /// What happened while a request was lost. The first that applies counts.
-enum class LossCause { Deadline, Fault, Stop, Reload, Change, None };
+enum class LossCause { Deadline, Fault, Stop, Reload, Silence, Change, None };
 
 /// One call, as its caller saw it.
 struct CallRecord {
@@ -33,6 +33,8 @@
   Duration Timeout{};
   /// The connection ended without a whole answer.
   bool IsLost = false;
+  /// It was answered that it may or may not have run, before its deadline.
+  bool IsUnknown = false;
   /// An endpoint began to run it.
   bool IsExecuted = false;
   bool IsOnKeptConnection = false;
@@ -54,7 +56,8 @@
 };
 
 struct LossRules {
-  /// How long a fault still excuses a host.
+  /// How long a fault still excuses a host, and a silence of sound endpoints
+  /// may still show.
   Duration ContactTime = std::chrono::seconds(3);
   /// A request whose caller sees its end within this time, and the lag of the
   /// callers, may not have been read.
@@ -73,7 +76,8 @@
   explicit LostRequests(LossRules InitialRules = {}) : Rules(InitialRules) {}
 
   /// Something happened from \p From to \p Until at \p Host, or at all hosts.
-  /// \p Cause is Fault, Stop, Reload or Change.
+  /// \p Cause is neither Deadline nor None. A Silence of sound endpoints
+  /// excuses nothing: beside it, no request may be lost or unknown.
   void add(LossCause Cause, std::optional<std::size_t> Host, TimePoint From,
            TimePoint Until);
   /// \p Lag is the longest time by which the callers ran late: they may have
--- a/Tests/PlatformWorld/PlatformVerifyingCaller.cpp
+++ b/Tests/PlatformWorld/PlatformVerifyingCaller.cpp
@@ -278,6 +278,7 @@
                        .EndedAt = Each.EndedAt,
                        .Timeout = this->timeoutOf(Each.Kind),
                        .IsLost = Each.End == CallEnd::CutOff,
+                       .IsUnknown = Each.End == CallEnd::Unknown,
                        .IsExecuted = ExecutionCounts.contains(Id),
                        .IsOnKeptConnection = Each.IsOnKeptConnection});
   return Calls;
