LibHTTP: Answer requests that arrive as the wait for them ends

Callers who reused a connection just before its idle timeout saw it closed without an answer, although their request had arrived or had been read.

Cause: the wait for a request used the timeout of Beast's stream, which closes the socket. (1) Asio collects at most 128 events in one wait and runs the timers that are due after these, so a halt of the loop across the idle end closes the connections whose bytes were to be collected next. (2) On several threads the timer's handler can run between a completed read and its handler; the read bytes then came with a timeout and were dropped. The stop dropped read bytes in the same way (ClosedWhileIdle). (3) A connection that waited while a configuration raised the idle timeout kept its old end, while callers may reuse it for as long as the limits now allow.

The end of the wait, by the timeout or by the stop, now cancels the read instead of closing the socket. A read that has completed keeps its bytes, and after a cancelled one what has arrived is read once more; the connection is closed only if there is nothing. The timer looks at the current limit when it expires and waits on if that was raised.

--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -160,7 +160,7 @@
         Stopping(Stopping), Draining(Draining), Active(Active),
         MonitorEnded(this->Stream.get_executor(),
                      asio::steady_timer::time_point::max()),
-        TransferTimer(this->Stream.get_executor()) {}
+        ReadTimer(this->Stream.get_executor()) {}
 
   asio::awaitable<void> serve();
 
@@ -189,12 +189,17 @@
   }
 
 private:
-  void closeNowIfIdle();
   using RequestParser = http::request_parser<http::string_body>;
 
   asio::awaitable<bool> readRequest();
   /// Reads the first bytes of a request. Returns false if none came.
   asio::awaitable<bool> readFirstBytes();
+  /// Lets the wait for a request end when it has lasted the idle timeout since
+  /// \p Since. A timeout that is raised meanwhile holds too.
+  void setIdleTimeout(TimePoint Since);
+  /// Ends the wait for a request, but drops no byte: readFirstBytes() still
+  /// gets what was read and reads what has arrived.
+  void endIdle();
   /// Parses what has arrived and reads on until the request is whole. \returns
   /// why it must be refused. Without a reason and with a parser that is not
   /// done, the connection is lost.
@@ -258,9 +263,6 @@
   bool Idle = false;
   /// No request has been read yet.
   bool IsFresh = true;
-  /// Set by closeNowIfIdle(). Bytes whose read had completed by then are
-  /// dropped: their request could run, but its response could not be written.
-  bool ClosedWhileIdle = false;
   bool Disconnected = false;
   /// True if the last byte of the response was written. A connection with an
   /// incomplete response is closed, never reused.
@@ -274,9 +276,10 @@
   bool IsMonitorStopped = false;
   /// Never expires; cancelled when monitorCaller() returns.
   asio::steady_timer MonitorEnded;
-  /// Runs while a request that has begun is awaited. The timeout of the stream
-  /// would close it before it can be answered.
-  asio::steady_timer TransferTimer;
+  /// Runs while a request, or the rest of one, is awaited. The timeout of the
+  /// stream would close it, with a request that has arrived or before one that
+  /// has begun can be answered.
+  asio::steady_timer ReadTimer;
 };
 
 asio::awaitable<void> Connection::serve() {
@@ -294,21 +297,34 @@
 
 void Connection::closeIfIdle() {
   if (!this->IsFresh)
-    return this->closeNowIfIdle();
+    return this->endIdle();
   auto Timer = std::make_shared<asio::steady_timer>(this->Stream.get_executor(),
                                                     FirstByteTime);
   Timer->async_wait(
       [Self = this->shared_from_this(),
-       Timer](const boost::system::error_code &) { Self->closeNowIfIdle(); });
+       Timer](const boost::system::error_code &) { Self->endIdle(); });
+}
+
+void Connection::setIdleTimeout(TimePoint Since) {
+  this->ReadTimer.expires_at(
+      Since + (this->Stopping ? FirstByteTime : this->Options.IdleTimeout));
+  this->ReadTimer.async_wait([Weak = this->weak_from_this(),
+                              Number = this->RequestNumber,
+                              Since](const boost::system::error_code &Error) {
+    auto Self = Weak.lock();
+    if (!Self || Error || Number != Self->RequestNumber)
+      return;
+    if (Self->Stopping || monotonicNow() >= Since + Self->Options.IdleTimeout)
+      return Self->endIdle();
+    Self->setIdleTimeout(Since);
+  });
 }
 
-void Connection::closeNowIfIdle() {
+void Connection::endIdle() {
+  // A close would drop bytes whose read has completed but has not been handled.
   beast::error_code Ignored;
-  // The read of bytes that have arrived is about to complete.
-  if (!this->Idle || this->Stream.socket().available(Ignored) > 0)
-    return;
-  this->ClosedWhileIdle = true;
-  this->Stream.close();
+  if (this->Idle)
+    this->Stream.socket().cancel(Ignored);
 }
 
 std::string Connection::callerIp() const {
@@ -336,7 +352,7 @@
   this->IsFresh = false;
   auto Reason = co_await this->readRest(Parser);
   this->IsReading = false;
-  this->TransferTimer.cancel();
+  this->ReadTimer.cancel();
   if (!Reason && Parser.is_done() && this->Held &&
       !this->Held->change(HeldWork::ArrivedRequest))
     Reason = HttpRefusalReason::ProcessBytes;
@@ -366,16 +382,19 @@
   // began before the stop. A request that is read now might not be finished.
   if (this->Stopping && !this->IsFresh)
     co_return false;
-  this->Stream.expires_after(this->Stopping ? FirstByteTime
-                                            : this->Options.IdleTimeout);
+  this->Stream.expires_never();
   this->Idle = true;
+  this->setIdleTimeout(monotonicNow());
   auto [Error, Count] = co_await this->Stream.async_read_some(
       this->Buffer.prepare(this->Buffer.max_size()), UseTuple);
   this->Idle = false;
-  if (Error || this->ClosedWhileIdle)
-    co_return false;
+  this->ReadTimer.cancel();
+  // The wait has ended; a request may have arrived before it did.
+  if (Error == asio::error::operation_aborted)
+    Count = this->Stream.socket().read_some(
+        this->Buffer.prepare(this->Buffer.max_size()), Error);
   this->Buffer.commit(Count);
-  co_return true;
+  co_return Count > 0;
 }
 
 /// Returns why a request whose reading ended by \p Error is refused; none if
@@ -496,12 +515,12 @@
 }
 
 void Connection::setReadingTimeout(Duration Timeout) {
-  this->TransferTimer.expires_at(this->ReadingSince + Timeout);
-  this->TransferTimer.async_wait(
+  this->ReadTimer.expires_at(this->ReadingSince + Timeout);
+  this->ReadTimer.async_wait(
       [Weak = this->weak_from_this(),
        Number = this->RequestNumber](const boost::system::error_code &Error) {
         auto Self = Weak.lock();
-        if (Self && !Error && monotonicNow() >= Self->TransferTimer.expiry())
+        if (Self && !Error && monotonicNow() >= Self->ReadTimer.expiry())
           Self->interruptReading(Number, HttpRefusalReason::TransferTime);
       });
 }
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -70,7 +70,8 @@
   /// A caller that takes no byte of its answer for this long doesn't take it:
   /// it is given up before the requests and answers of others.
   Duration UntakenTimeout = std::chrono::seconds(3);
-  /// A connection that waits for a request this long is closed.
+  /// A connection that waits for a request this long is closed, unless bytes
+  /// have arrived by then.
   Duration IdleTimeout = std::chrono::seconds(60);
   /// What the process may hold in all; null: no limit. It outlives the server
   /// and its connections. A request counts from its first byte until it has
@@ -145,7 +146,8 @@
   void drain();
 
   /// Changes the timeouts and the size limits for requests that are read from
-  /// now on. Called only on the executor's thread if it has a single one.
+  /// now on. A raised idle timeout holds for connections that wait as well.
+  /// Called only on the executor's thread if it has a single one.
   void setLimits(const HttpServerLimits &Limits);
 
   /// Accepts the connections that wait and no more, closes the idle ones, and
