LibHTTP: Apply changed size limits from the next request on

Callers whose connection waited while a configuration raised max_header_bytes or max_body_bytes got 431 or 413 for a next request within the new limits. A request whose head was arriving while the limit shrank got 431 although it had begun under the old one.

Cause: the limits of a request were taken before the wait for its first byte, and the length of the head was compared with the limit of the moment.

The limits are now taken when the first bytes are there, and kept for that request.

--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -192,6 +192,7 @@
   using RequestParser = http::request_parser<http::string_body>;
 
   asio::awaitable<bool> readRequest();
+  void applyHeaderLimit();
   /// Reads the first bytes of a request. Returns false if none came.
   asio::awaitable<bool> readFirstBytes();
   /// Lets the wait for a request end when it has lasted the idle timeout since
@@ -241,6 +242,8 @@
   std::atomic<bool> &Stopping;
   std::atomic<bool> &Draining;
   std::atomic<std::size_t> &Active;
+  /// The limit for the head of the current request.
+  std::size_t HeaderBytes = 0;
   /// Never larger than the limit of a head.
   beast::flat_buffer Buffer;
   HttpRequest CurrentRequest;
@@ -341,15 +344,15 @@
   this->ResponsePlace = nullptr;
   ++this->RequestNumber;
   this->IsAdmitted = false;
-  RequestParser Parser;
-  Parser.header_limit(static_cast<std::uint32_t>(this->Options.HeaderBytes));
-  Parser.body_limit(this->Options.BodyBytes);
-  // Bytes of a pipelined request may have come under another limit.
-  this->Buffer.max_size(std::max(
-      {this->Options.HeaderBytes, MinBufferBytes, this->Buffer.size()}));
+  this->applyHeaderLimit();
   if (this->Buffer.size() == 0 && !co_await this->readFirstBytes())
     co_return false;
   this->IsFresh = false;
+  // The limits may have changed while the connection waited.
+  this->applyHeaderLimit();
+  RequestParser Parser;
+  Parser.header_limit(static_cast<std::uint32_t>(this->HeaderBytes));
+  Parser.body_limit(this->Options.BodyBytes);
   auto Reason = co_await this->readRest(Parser);
   this->IsReading = false;
   this->ReadTimer.cancel();
@@ -377,6 +380,13 @@
   co_return true;
 }
 
+void Connection::applyHeaderLimit() {
+  this->HeaderBytes = this->Options.HeaderBytes;
+  // Bytes of a pipelined request may have come under another limit.
+  this->Buffer.max_size(
+      std::max({this->HeaderBytes, MinBufferBytes, this->Buffer.size()}));
+}
+
 asio::awaitable<bool> Connection::readFirstBytes() {
   // The response before may have promised to keep the connection open, as it
   // began before the stop. A request that is read now might not be finished.
@@ -427,7 +437,7 @@
     if (Error && Error != http::error::need_more)
       co_return findRefusal(Error);
     // The limit of the parser holds only for what it has not parsed.
-    if (IsHead && ParsedBytes > this->Options.HeaderBytes)
+    if (IsHead && ParsedBytes > this->HeaderBytes)
       co_return HttpRefusalReason::HeaderBytes;
     if (!this->chargeRequest(Parser, ParsedBytes))
       co_return HttpRefusalReason::ProcessBytes;
--- a/Tests/LibHTTP/TestConnectionLimits.cpp
+++ b/Tests/LibHTTP/TestConnectionLimits.cpp
@@ -356,6 +356,49 @@
   EXPECT_EQ(this->Refusals[0].CallerIp, "127.0.0.1");
 }
 
+// Guards against limits that hold for a connection's next request although they
+// were changed while it waited, and against new ones for a request that has
+// begun.
+TEST_F(ConnectionLimits, ChangesHoldForRequestsThatBeginLater) {
+  constexpr std::size_t SmallHead = Kilobyte;
+  constexpr std::size_t LargeHead = 20 * Kilobyte;
+  this->start(100);
+  auto ChangeLimits = [this](std::size_t HeaderBytes, std::size_t BodyBytes) {
+    HttpServerOptions Defaults;
+    this->Server->setLimits({.HeaderBytes = HeaderBytes,
+                             .BodyBytes = BodyBytes,
+                             .HeadTimeout = Defaults.HeadTimeout,
+                             .TransferTimeout = 2 * WaitLimit,
+                             .UntakenTimeout = Defaults.UntakenTimeout,
+                             .IdleTimeout = Defaults.IdleTimeout});
+  };
+  auto Settle = [this] {
+    while (this->Context.run_one_for(100ms) > 0)
+      ;
+  };
+  std::string Field = "X: " + std::string(LargeHead - 2 * SmallHead, 'x');
+  std::string Request = "POST / HTTP/1.1\r\nConnection: close\r\n" + Field +
+                        "\r\nContent-Length: 200\r\n\r\n" +
+                        std::string(200, 'x');
+  auto Waiting = this->open();
+  Settle();
+  ChangeLimits(LargeHead, 200);
+  Waiting->send(Request);
+  ASSERT_TRUE(this->runUntil([&] { return Waiting->IsEnded; }));
+  EXPECT_TRUE(Waiting->Answer.starts_with("HTTP/1.1 200")) << Waiting->Answer;
+  auto Begun = this->open();
+  Begun->send(Request.substr(0, Request.size() / 2));
+  Settle();
+  ChangeLimits(SmallHead, 100);
+  Begun->send(Request.substr(Request.size() / 2));
+  ASSERT_TRUE(this->runUntil([&] { return Begun->IsEnded; }));
+  EXPECT_TRUE(Begun->Answer.starts_with("HTTP/1.1 200")) << Begun->Answer;
+  auto Late = this->open();
+  Late->send(Request);
+  ASSERT_TRUE(this->runUntil([&] { return Late->IsEnded; }));
+  EXPECT_TRUE(Late->Answer.starts_with("HTTP/1.1 431")) << Late->Answer;
+}
+
 // Guards against bodies that idle connections keep after their answers, where
 // they count in no budget.
 TEST_F(ConnectionLimits, AnsweredRequestsKeepNoBodies) {
