LibEntry: Give up an attempt only once a second one delivers

Callers got no whole answer, or a stream that broke off, because the entry host gave up an attempt at a place that stood still ("place stood still") and the repeat then failed or was refused ("repeat not allowed"). Silence was taken for an end, and the old attempt was cancelled before the new one had brought anything.

A stream that may be resumed and whose target has sent nothing for half of the caller's patience now gets a standby: a second attempt at a target that isn't in doubt, with right, place, retry budget and prompt granted before. The first attempt goes on. StandbyRace decides: the one that delivers the next event first is passed on, and only then is the other cancelled. If one ends, the other goes on. The word of the control hosts (mode Stalled) starts a standby at once in place of cancelling the attempt. The standby resumes after the last event passed on, and the first one has been silent since, so that nothing is missing; EventRelay checks the ids in any case. StandbyAttempt ends at the dispatcher and the crash detector by itself unless the session has passed on a part of it.

Silence is a preference in Dispatcher now. Before, a silent target was excluded, but equal to all others where most were silent, so that new requests went to stuck groups in equal parts. Targets in doubt are now selected only if no other can take the request, those in back-off only after these.

Silence of a probe of EngineContact no longer ends a request that must not repeat, and others only after EndingSilence (was 500 ms). An attempt that this host gave up is no evidence that engines can't be reached.

Tests: SilenceOfMostTargetsIsNoStallOfOne described the equal treatment and is replaced by GroupsInDoubtAreSelectedOnlyWithoutOthersHoweverManyTheyAre (most in doubt: never selected beside a sound one, still selected alone). NewMemberListDiscardsFindings asks with OnlyTrusted, since a target in doubt is no longer excluded. GivesUpOnlyWhatCanBeRepeatedAtOnce became StandbyStartsInHalfThePatienceOfTheCaller; that another target has room is now the choice itself (OnlyTrusted). TestStandbyRace is new.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -1,9 +1,11 @@
 //===- LibEntry/CallerSession.cpp - One request from a caller -------------===//
 
 #include <LibEntry/CallerSession.h>
-#include <LibEntry/StallRule.h>
 
+#include <LibCore/Silence.h>
 #include <LibCore/StringStorage.h>
+#include <LibEntry/AnswerHoldOff.h>
+#include <LibEntry/StallRule.h>
 #include <LibRouting/RequestFingerprint.h>
 #include <LibTelemetry/Log.h>
 #include <algorithm>
@@ -22,9 +24,6 @@
 /// A reachable endpoint accepts a connection within a few milliseconds.
 static constexpr auto ConnectTimeout = std::chrono::milliseconds(400);
 static constexpr auto ProbeConnectTimeout = std::chrono::milliseconds(100);
-/// A probe that gets no answer by its time objective, and by this time, shows
-/// that its engine is out of reach.
-static constexpr auto ProbeHeadTimeout = std::chrono::milliseconds(500);
 /// No attempt is started with less time left: no endpoint could answer.
 static constexpr auto MinAttemptTime = std::chrono::milliseconds(20);
 /// Attempts of one request, including those that no endpoint has run.
@@ -81,7 +80,10 @@
   struct ActiveGuard {
     SessionContext &Context;
     CallerSession *Session;
-    ~ActiveGuard() { this->Context.ActiveSessions.erase(this->Session); }
+    ~ActiveGuard() {
+      this->Context.ActiveSessions.erase(this->Session);
+      this->Session->dropStandby();
+    }
   };
   this->Context.ActiveSessions.insert(this);
   ActiveGuard Guard{this->Context, this};
@@ -90,12 +92,14 @@
 }
 
 void CallerSession::handleCallerDisconnect() {
+  this->dropStandby();
   if (this->CallControl != nullptr)
     this->CallControl->cancel();
 }
 
 void CallerSession::handleDeadline() {
   this->DeadlinePassed = true;
+  this->dropStandby();
   if (this->CallControl != nullptr)
     this->CallControl->cancel();
 }
@@ -295,6 +299,10 @@
       co_return this->recordOutcome("dropped", "caller gone");
     if (this->DeadlinePassed || this->remainingTime() < MinAttemptTime)
       co_return co_await this->endWithoutAnswer("out of time");
+    if (this->Standby) {
+      Next = co_await this->followStandby();
+      continue;
+    }
     if (this->AttemptCount >= MaxAttempts)
       co_return co_await this->endWithoutAnswer("too many attempts");
     if (PromptParts Parts = this->findRefusedParts(); !Parts.empty()) {
@@ -342,6 +350,9 @@
       co_return co_await this->endWithoutAnswer("repeat not allowed");
     ++this->AttemptCount;
     Next = co_await this->runAttempt(*Choice.Target);
+    // An end of the first attempt leaves the request to its standby.
+    if (Next == NextStep::GiveUp && this->Standby)
+      Next = NextStep::Retry;
   }
   if (Next == NextStep::GiveUp)
     co_await this->endWithoutAnswer(this->DeadlinePassed ? "out of time"
@@ -392,39 +403,126 @@
                 PauseLeft);
 }
 
-void CallerSession::abandonIfRepeatable() {
-  if (this->CallControl == nullptr || this->IsAbandoned ||
-      this->AttemptCount >= MaxAttempts)
+void CallerSession::startStandbyIfNeeded(bool IsStalled) {
+  if (this->CallControl == nullptr || this->IsWritingEvents ||
+      !this->Race.canStart() || this->AttemptCount >= MaxAttempts)
     return;
-  const PromptGuard &Guard = this->Context.State.Guard;
+  EntryState &State = this->Context.State;
   TimePoint Now = monotonicNow();
-  DispatchRequest Wanted{.Service = this->TargetService,
-                         .Model = this->CallerRequest.Model,
-                         .Objective = this->MatchedRoute->Objective,
-                         .ExcludedTargets = this->TriedTargets};
-  AbandonFacts Facts{
+  StandbyFacts Facts{
+      .Silence = State.RequestDispatcher.silence(Now, this->CurrentAttempt),
+      .IsStalled = IsStalled,
       .IsResumable = this->MatchedRoute->Resumable,
       .PossibleRuns = this->PossibleRuns + 1,
       .EndpointsPerRequest = this->MatchedRoute->EndpointsPerRequest,
       .RemainingTime = this->remainingTime(),
       .Objective = this->MatchedRoute->Objective,
-      .HasOtherTarget =
-          this->Context.State.RequestDispatcher.hasTarget(Now, Wanted),
-      .IsPromptSound = Guard.mayRetry(this->Suspects) &&
-                       Guard.findRefusal(this->Suspects).empty() &&
-                       Guard.findHold(this->Suspects).empty()};
-  if (!canRepeatAtOnce(Facts) ||
-      !this->Context.State.retryBudget(this->TargetService)
-           .tryAcquire(Now, this->Context.State.EntryHostCount))
+      .PauseObjective = this->MatchedRoute->PauseObjective,
+      .IsPromptSound = State.Guard.mayRetry(this->Suspects) &&
+                       State.Guard.findRefusal(this->Suspects).empty() &&
+                       State.Guard.findHold(this->Suspects).empty()};
+  RetryBudget &Budget = State.retryBudget(this->TargetService);
+  if (!shouldStartStandby(Facts) ||
+      !Budget.isAvailable(Now, State.EntryHostCount))
     return;
-  this->IsRepeatGranted = true;
-  this->IsAbandoned = true;
-  this->CallControl->cancel();
+  DispatchRequest Wanted{.Service = this->TargetService,
+                         .Model = this->CallerRequest.Model,
+                         .Objective = this->MatchedRoute->Objective,
+                         .ExcludedTargets = this->TriedTargets,
+                         .OnlyTrusted = true};
+  DispatchChoice Choice = State.RequestDispatcher.chooseTarget(Now, Wanted);
+  if (Choice.Target && Budget.tryAcquire(Now, State.EntryHostCount))
+    this->startStandby(*Choice.Target, Facts.Silence);
+}
+
+void CallerSession::startStandby(const DispatchTarget &Target,
+                                 Duration Silence) {
+  this->Race.start();
+  ++this->AttemptCount;
+  this->TriedTargets.push_back(Target.Name);
+  this->Context.ProcessMetrics.countEvent("standbys_started");
+  this->logStandby(Target, "started", Silence);
+  this->Standby = std::make_shared<StandbyAttempt>(
+      this->Context,
+      StandbyOptions{.Number = this->registerAttempt(Target),
+                     .Target = Target,
+                     .Request = this->makeEndpointRequest(Target),
+                     .RequestId = this->CallerRequest.AttemptId,
+                     .ResumeAfter = this->Relay.lastId(),
+                     .Call = this->makeCallOptions(),
+                     .MayDeliver = [this] { return this->acceptStandby(); },
+                     .OnEnd =
+                         [this] {
+                           this->recordStandbyEnd(this->Standby->mayHaveRun());
+                           this->Race.endStandby();
+                           this->Standby.reset();
+                         }});
+  this->Standby->start();
+}
+
+bool CallerSession::acceptStandby() {
+  if (!this->Race.deliver(StandbyRace::Runner::Standby))
+    return false;
+  this->IsSuperseded = true;
+  if (this->CallControl != nullptr)
+    this->CallControl->cancel();
+  return true;
+}
+
+void CallerSession::logStandby(const DispatchTarget &Target,
+                               std::string_view Event, Duration Silence) const {
+  logEvent(Severity::Info, "standby",
+           {{"request", this->CallerRequest.AttemptId},
+            {"endpoint", Target.Endpoint},
+            {"place", Target.Name},
+            {"end", Event},
+            {"silent_ms", milliseconds(Silence)}});
+}
+
+void CallerSession::recordStandbyEnd(bool MayHaveRun) {
+  if (MayHaveRun)
+    ++this->PossibleRuns;
+  this->MayHaveRun = this->MayHaveRun || MayHaveRun;
+}
+
+void CallerSession::dropStandby() {
+  if (!this->Standby)
+    return;
+  this->Standby->release();
+  this->recordStandbyEnd(/*MayHaveRun=*/true);
+  this->Race.endStandby();
+  this->Standby.reset();
+}
+
+asio::awaitable<CallerSession::NextStep> CallerSession::followStandby() {
+  std::shared_ptr<StandbyAttempt> Followed = std::move(this->Standby);
+  this->Context.ProcessMetrics.countEvent("standbys_followed");
+  this->logStandby(Followed->target(),
+                   this->IsSuperseded ? "delivers" : "followed",
+                   Duration::zero());
+  this->Race.endFirst();
+  this->beginAttempt(Followed->target(), Followed->number());
+  this->CallControl = &Followed->control();
+  std::optional<HttpCallOutcome> End;
+  bool IsCallerGone = false;
+  try {
+    End = co_await Followed->follow(*this);
+  } catch (const boost::system::system_error &) {
+    IsCallerGone = true;
+  }
+  this->CallControl = nullptr;
+  if (!End && !IsCallerGone) {
+    this->Context.StandbyCallbacks.erase(this->CurrentAttempt);
+    this->recordStandbyEnd(Followed->mayHaveRun());
+    co_return NextStep::Retry;
+  }
+  this->IsUnusable = this->IsUnusable || Followed->isUnusable();
+  this->IsPaused = this->IsPaused || Followed->isPaused();
+  this->recordCallLimits(End, Followed->control());
+  co_return co_await this->endCall(End);
 }
 
 bool CallerSession::canRetry() {
-  if (std::exchange(this->IsRepeatGranted, false))
-    return true;
   if (this->MayHaveRun && !this->MatchedRoute->isSafeToRetry())
     return false;
   if (this->PossibleRuns >= this->MatchedRoute->EndpointsPerRequest)
@@ -443,7 +541,7 @@
   this->HasAnswerHead = false;
   this->AnswerMetadata = {};
   this->Use = AnswerUse::Whole;
-  this->IsAbandoned = false;
+  this->IsSuperseded = false;
   this->HasContent = false;
   this->IsPaused = false;
   this->IsUnusable = false;
@@ -452,20 +550,27 @@
   this->Relay.restart();
 }
 
-asio::awaitable<std::optional<HttpCallOutcome>>
-CallerSession::perform(std::string Address, HttpRequest Request,
-                       HttpCallControl &Control) {
+HttpCallOptions CallerSession::makeCallOptions() const {
   HttpCallOptions Options;
   Options.ConnectTimeout =
       std::min<Duration>(this->IsProbe ? ProbeConnectTimeout : ConnectTimeout,
                          this->remainingTime());
-  Options.HeadTimeout =
-      this->IsProbe
-          ? std::max<Duration>(this->MatchedRoute->Objective, ProbeHeadTimeout)
-          : this->remainingTime();
+  Options.HeadTimeout = this->remainingTime();
+  // What must not repeat waits for its engine.
+  if (this->IsProbe && this->MatchedRoute->isSafeToRetry())
+    Options.HeadTimeout = std::min(
+        Options.HeadTimeout,
+        std::max<Duration>(this->MatchedRoute->Objective, EndingSilence));
   Options.ChunkTimeout = this->remainingTime();
   Options.FreshConnection = !this->MatchedRoute->isSafeToRetry();
   Options.CompleteOnClose = true;
+  return Options;
+}
+
+asio::awaitable<std::optional<HttpCallOutcome>>
+CallerSession::perform(std::string Address, HttpRequest Request,
+                       HttpCallControl &Control) {
+  HttpCallOptions Options = this->makeCallOptions();
   Options.BeforeWrite = [this] {
     this->IsPaused = !this->Context.State.RequestDispatcher.mayWrite(
         monotonicNow(), this->CurrentAttempt);
@@ -489,6 +594,12 @@
     // The sink throws when writing to the caller fails.
   }
   this->CallControl = nullptr;
+  this->recordCallLimits(End, Control);
+  co_return End;
+}
+
+void CallerSession::recordCallLimits(std::optional<HttpCallOutcome> End,
+                                     const HttpCallControl &Control) {
   // What no limit of bytes allows is no sign of a crash.
   if (End == HttpCallOutcome::Incomplete &&
       Control.limit() == HttpCallLimit::HeldBytes)
@@ -497,7 +608,6 @@
   if (this->HeldAnswer && End == HttpCallOutcome::Complete &&
       !this->HeldAnswer->change(HeldWork::CompleteAnswer))
     this->giveUpAnswer();
-  co_return End;
 }
 
 asio::awaitable<CallerSession::NextStep>
@@ -581,31 +691,52 @@
 
 asio::awaitable<CallerSession::NextStep>
 CallerSession::runAttempt(const DispatchTarget &Target) {
-  Dispatcher &RequestDispatcher = this->Context.State.RequestDispatcher;
   this->TriedTargets.push_back(Target.Name);
-  this->LastEndpoint = Target.Endpoint;
-  this->resetAnswer();
+  HttpRequest Request = this->makeEndpointRequest(Target);
+  this->beginAttempt(Target, this->registerAttempt(Target));
+  HttpCallControl Control;
+  std::optional<HttpCallOutcome> End =
+      co_await this->perform(Target.Address, std::move(Request), Control);
+  co_return co_await this->endCall(End);
+}
+
+HttpRequest CallerSession::makeEndpointRequest(const DispatchTarget &Target) {
   DispatchMetadata Metadata{.ExpectedEndpoint = Target.Endpoint,
                             .RemainingTime = this->remainingTime(),
                             .Workspace = this->CallerWorkspace != nullptr
                                              ? this->CallerWorkspace->Name
                                              : WorkspaceName(),
                             .ResumeAfter = this->Relay.lastId()};
-  HttpRequest Request = this->Context.Protocol.makeEndpointRequest(
-      this->Exchange.request(), Metadata);
-  bool IsStream = this->MatchedRoute->Retries == RetryRule::Stream;
-  this->CurrentAttempt =
-      RequestDispatcher.beginAttempt(monotonicNow(), Target.Name, IsStream);
-  this->Context.State.Crashes.beginAttempt(monotonicNow(), this->CurrentAttempt,
-                                           Target.Endpoint, this->Suspects);
-  HttpCallControl Control;
-  if (IsStream && this->MatchedRoute->Resumable)
-    this->Context.AbandonCallbacks[this->CurrentAttempt] = [this] {
-      this->abandonIfRepeatable();
+  return this->Context.Protocol.makeEndpointRequest(this->Exchange.request(),
+                                                    Metadata);
+}
+
+AttemptNumber CallerSession::registerAttempt(const DispatchTarget &Target) {
+  EntryState &State = this->Context.State;
+  AttemptNumber Number = State.RequestDispatcher.beginAttempt(
+      monotonicNow(), Target.Name,
+      this->MatchedRoute->Retries == RetryRule::Stream);
+  State.Crashes.beginAttempt(monotonicNow(), Number, Target.Endpoint,
+                             this->Suspects);
+  return Number;
+}
+
+void CallerSession::beginAttempt(const DispatchTarget &Target,
+                                 AttemptNumber Number) {
+  this->resetAnswer();
+  this->LastEndpoint = Target.Endpoint;
+  this->CurrentTarget = Target.Name;
+  this->CurrentAttempt = Number;
+  if (this->MatchedRoute->Retries == RetryRule::Stream &&
+      this->MatchedRoute->Resumable)
+    this->Context.StandbyCallbacks[Number] = [this](bool IsStalled) {
+      this->startStandbyIfNeeded(IsStalled);
     };
-  std::optional<HttpCallOutcome> End =
-      co_await this->perform(Target.Address, std::move(Request), Control);
-  this->Context.AbandonCallbacks.erase(this->CurrentAttempt);
+}
+
+asio::awaitable<CallerSession::NextStep>
+CallerSession::endCall(std::optional<HttpCallOutcome> End) {
+  this->Context.StandbyCallbacks.erase(this->CurrentAttempt);
   if (!End) {
     this->endAttempt(DispatchResult::Cancelled, ConnectionEnd::Orderly);
     this->recordOutcome("dropped", "caller gone");
@@ -626,9 +757,10 @@
   bool CancelledHere = this->DeadlinePassed || this->IsGivenUp ||
                        this->Exchange.callerDisconnected();
   if (End == HttpCallOutcome::NotWritten) {
-    DispatchResult Result = CancelledHere    ? DispatchResult::Cancelled
-                            : this->IsPaused ? DispatchResult::Paused
-                                             : DispatchResult::Unreachable;
+    DispatchResult Result = CancelledHere        ? DispatchResult::Cancelled
+                            : this->IsSuperseded ? DispatchResult::Superseded
+                            : this->IsPaused     ? DispatchResult::Paused
+                                                 : DispatchResult::Unreachable;
     this->endAttempt(Result, ConnectionEnd::Orderly);
     this->logAttempt(Result);
     if (Result == DispatchResult::Unreachable) {
@@ -640,7 +772,8 @@
   this->UnreachableAttempts = 0;
   ++this->SentAttempts;
   bool IsComplete = End == HttpCallOutcome::Complete && this->HasAnswerHead &&
-                    !this->IsUnusable && !this->IsGivenUp;
+                    !this->IsUnusable && !this->IsGivenUp &&
+                    !this->IsSuperseded;
   if (IsComplete && this->AnswerMetadata.NotRun) {
     DispatchResult Result =
         this->IsPaused ? DispatchResult::Paused : DispatchResult::Refused;
@@ -652,10 +785,11 @@
   this->MayHaveRun = true;
   ++this->PossibleRuns;
   bool Failed = IsComplete && this->AnswerHttpHead.Status >= 500;
-  DispatchResult Result = Failed          ? DispatchResult::Failed
-                          : IsComplete    ? DispatchResult::Answered
-                          : CancelledHere ? DispatchResult::Cancelled
-                                          : DispatchResult::Lost;
+  DispatchResult Result = Failed               ? DispatchResult::Failed
+                          : IsComplete         ? DispatchResult::Answered
+                          : CancelledHere      ? DispatchResult::Cancelled
+                          : this->IsSuperseded ? DispatchResult::Superseded
+                                               : DispatchResult::Lost;
   if (IsComplete && isStream(this->Use) && this->Relay.hasGap())
     Result = DispatchResult::Lost;
   bool HasLength = this->AnswerHttpHead.Headers.count("Content-Length") +
@@ -663,11 +797,12 @@
                    0;
   // A read that times out at the deadline looks like a lost connection.
   bool IsLost = End == HttpCallOutcome::Incomplete && !CancelledHere &&
-                !this->IsAbandoned && !this->IsUnusable &&
+                !this->IsSuperseded && !this->IsUnusable &&
                 this->remainingTime() > MinAttemptTime;
   bool IsSilent = End == HttpCallOutcome::Incomplete && !this->HasAnswerHead &&
-                  !this->IsUnusable && !this->Exchange.callerDisconnected();
-  if (IsLost || IsSilent || this->IsAbandoned)
+                  !this->IsUnusable && !this->IsSuperseded &&
+                  !this->Exchange.callerDisconnected();
+  if (IsLost || IsSilent)
     this->contact().recordFailure(monotonicNow(), this->LastEndpoint);
   // A probe is given up by this host.
   IsLost = IsLost && !(IsSilent && this->IsProbe);
@@ -765,29 +900,9 @@
   co_await this->Exchange.respond(std::move(Unknown));
 }
 
-static std::string_view resultName(DispatchResult Result) {
-  switch (Result) {
-  case DispatchResult::Answered:
-    return "answered";
-  case DispatchResult::Refused:
-    return "refused-by-endpoint";
-  case DispatchResult::Paused:
-    return "endpoint-paused";
-  case DispatchResult::Failed:
-    return "endpoint-failed";
-  case DispatchResult::Unreachable:
-    return "unreachable";
-  case DispatchResult::Lost:
-    return "lost";
-  case DispatchResult::Cancelled:
-    return "given-up-here";
-  }
-  return "";
-}
-
 /// Logs an attempt that did not end with an answer from the endpoint.
 void CallerSession::logAttempt(DispatchResult Result) {
-  std::string_view Reason = this->IsAbandoned      ? "place stood still"
+  std::string_view Reason = this->IsSuperseded     ? "place stood still"
                             : this->IsGivenUp      ? NoMemoryReason
                             : this->IsUnusable     ? "answer unusable"
                             : this->DeadlinePassed ? "out of time"
@@ -800,7 +915,7 @@
       Severity::Warning, "attempt",
       {{"request", this->CallerRequest.AttemptId},
        {"endpoint", this->LastEndpoint},
-       {"place", this->TriedTargets.back()},
+       {"place", this->CurrentTarget},
        {"end", resultName(Result)},
        {"reason", Reason},
        {"status", static_cast<std::int64_t>(
@@ -833,6 +948,8 @@
 }
 
 asio::awaitable<void> CallerSession::head(const HttpResponseHead &Head) {
+  if (this->IsSuperseded)
+    co_return;
   this->HasAnswerHead = true;
   this->AnswerHttpHead = Head;
   this->AnswerMetadata = this->Context.Protocol.readAnswer(Head);
@@ -843,18 +960,9 @@
         monotonicNow(), this->AnswerMetadata.PeerCatalogVersion);
   this->Context.State.Crashes.recordProgress(monotonicNow(),
                                              this->CurrentAttempt);
-  // A request that reached another endpoint by mistake says nothing about this
-  // one.
-  if (Head.Status != 421) {
-    this->Context.State.RequestDispatcher.recordLimit(
-        monotonicNow(), this->CurrentAttempt,
-        this->AnswerMetadata.RequestLimit);
-    this->recordHoldOff(Head.Status);
-  }
-  bool IsEventStream = this->AnswerMetadata.IsEventStream &&
-                       Head.Status < 300 && this->AnswerMetadata.Signed &&
-                       this->MatchedRoute->Retries == RetryRule::Stream &&
-                       !this->AnswerMetadata.Encoded;
+  this->recordHoldOffs(Head.Status);
+  bool IsEventStream = carriesEvents(this->AnswerMetadata, Head.Status) &&
+                       this->MatchedRoute->Retries == RetryRule::Stream;
   this->Use = chooseAnswerUse(
       {.IsEventStream = IsEventStream, .HasStreamBegun = this->StreamStarted});
   if (this->Use != AnswerUse::StartsStream)
@@ -864,28 +972,21 @@
   co_await this->Exchange.startStream(std::move(CallerHead));
 }
 
-void CallerSession::recordHoldOff(unsigned Status) {
+void CallerSession::recordHoldOffs(unsigned Status) {
   Dispatcher &RequestDispatcher = this->Context.State.RequestDispatcher;
-  Duration Pause = this->AnswerMetadata.RetryAfter.value_or(Duration::zero());
-  if (Status == 503 && Pause > Duration::zero()) {
-    this->IsPaused = true;
-    RequestDispatcher.recordPause(monotonicNow(), this->CurrentAttempt, Pause);
-  }
-  // The endpoint still takes some requests, which callers would miss where the
-  // others are full.
-  if (Status == 429 && Pause > Duration::zero())
-    RequestDispatcher.recordRateLimited(monotonicNow(), this->CurrentAttempt,
-                                        Pause);
-  bool IsHandedBack = this->CurrentAttempt == 0;
+  TimePoint Now = monotonicNow();
+  AnswerHoldOff HoldOff =
+      recordHoldOff(RequestDispatcher, Now, this->CurrentAttempt, Status,
+                    this->AnswerMetadata);
+  this->IsPaused = this->IsPaused || HoldOff.IsPaused;
   EndpointName Leaving = this->LastEndpoint;
-  if (IsHandedBack)
+  if (this->CurrentAttempt == 0) {
+    // Another entry host handed the answer back.
     Leaving = this->AnswerMetadata.LeavingEndpoint;
-  bool IsNew =
-      this->AnswerMetadata.Leaving &&
-      (IsHandedBack ? RequestDispatcher.recordLeaving(monotonicNow(), Leaving)
-                    : RequestDispatcher.recordLeaving(monotonicNow(),
-                                                      this->CurrentAttempt));
-  if (IsNew)
+    HoldOff.IsNewlyLeaving = Status != 421 && this->AnswerMetadata.Leaving &&
+                             RequestDispatcher.recordLeaving(Now, Leaving);
+  }
+  if (HoldOff.IsNewlyLeaving)
     logEvent(
         Severity::Info, "endpoint-leaving",
         {{"request", this->CallerRequest.AttemptId}, {"endpoint", Leaving}});
@@ -941,12 +1042,13 @@
   this->Context.Limits.record("process-bytes", this->LastEndpoint);
   freeStorage(this->AnswerBody);
   this->Relay.restart();
+  this->dropStandby();
   if (this->CallControl != nullptr)
     this->CallControl->cancel();
 }
 
 asio::awaitable<void> CallerSession::chunk(std::string Data) {
-  if (this->IsUnusable || this->IsGivenUp)
+  if (this->IsUnusable || this->IsGivenUp || this->IsSuperseded)
     co_return;
   if (!isStream(this->Use)) {
     this->HasContent = true;
@@ -967,6 +1069,8 @@
     co_return;
   if (Events.empty())
     co_return;
+  if (this->Race.deliver(StandbyRace::Runner::First))
+    this->dropStandby();
   this->HasContent = true;
   this->recordEventTiming();
   if (this->CurrentAttempt != 0)
@@ -975,7 +1079,9 @@
                                                        this->CurrentAttempt);
   this->Context.State.Crashes.recordProgress(monotonicNow(),
                                              this->CurrentAttempt);
+  this->IsWritingEvents = true;
   co_await this->Exchange.writeChunk(std::move(Events));
+  this->IsWritingEvents = false;
 }
 
 } // namespace carobhinge
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -15,6 +15,8 @@
 #include <LibEntry/EndpointProtocol.h>
 #include <LibEntry/EntryState.h>
 #include <LibEntry/EventRelay.h>
+#include <LibEntry/StandbyAttempt.h>
+#include <LibEntry/StandbyRace.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibHTTP/HttpServer.h>
 #include <LibRouting/StreamAnswer.h>
@@ -41,9 +43,9 @@
   Metrics &ProcessMetrics;
   SharedByteBudget &Budget;
   LimitLog &Limits;
-  /// By attempt at a target that may be stalled: cancels it if its session can
-  /// retry elsewhere.
-  std::map<AttemptNumber, std::function<void()>> AbandonCallbacks;
+  /// By attempt that may get a standby: starts one if it needs one. The
+  /// argument tells whether the control hosts call its target stalled.
+  std::map<AttemptNumber, std::function<void(bool IsStalled)>> StandbyCallbacks;
   /// Sessions that were admitted and have not ended.
   std::set<CallerSession *> ActiveSessions;
 };
@@ -79,6 +81,8 @@
   void addCatalogVersion(HttpHeaders &Fields) const;
   boost::asio::awaitable<void> serve();
   boost::asio::awaitable<NextStep> runAttempt(const DispatchTarget &Target);
+  /// Ends the attempt whose call has ended, with nothing if the caller is gone.
+  boost::asio::awaitable<NextStep> endCall(std::optional<HttpCallOutcome> End);
   boost::asio::awaitable<NextStep> finishAttempt(HttpCallOutcome End);
   boost::asio::awaitable<NextStep> finishStream();
   /// Whether the caller's answer may end as complete with this one.
@@ -97,6 +101,9 @@
   /// caller is gone.
   boost::asio::awaitable<std::optional<HttpCallOutcome>>
   perform(std::string Address, HttpRequest Request, HttpCallControl &Control);
+  /// Takes note of limits that the call, which has ended, has reached.
+  void recordCallLimits(std::optional<HttpCallOutcome> End,
+                        const HttpCallControl &Control);
   void resetAnswer();
   /// Counts the request for the retry budget, unless its peer does.
   void countRequest();
@@ -122,7 +129,7 @@
   void giveUpAnswer();
   /// Takes note of a pause that the answer asks for, and of an endpoint that
   /// leaves.
-  void recordHoldOff(unsigned Status);
+  void recordHoldOffs(unsigned Status);
   /// The head of the newest answer as the caller, or the host that handed the
   /// request on, gets it.
   [[nodiscard]] HttpResponseHead headForCaller() const;
@@ -140,9 +147,28 @@
   /// \returns whether the route and the retry budget allow another attempt.
   /// Takes one retry from the budget if so.
   bool canRetry();
-  /// The target of the attempt in progress is stalled. Gives the attempt up if
-  /// the request can be repeated at once.
-  void abandonIfRepeatable();
+  /// Starts a standby beside the attempt in progress if that has been silent
+  /// too long, or its target is stalled, and all that it takes is granted.
+  void startStandbyIfNeeded(bool IsStalled);
+  void startStandby(const DispatchTarget &Target, Duration Silence);
+  /// The standby has an event. \returns whether this session follows it; the
+  /// attempt in progress is given up then.
+  bool acceptStandby();
+  /// Goes on with the standby alone.
+  boost::asio::awaitable<NextStep> followStandby();
+  void logStandby(const DispatchTarget &Target, std::string_view Event,
+                  Duration Silence) const;
+  /// An attempt of which nothing was passed on, and which no call here ended.
+  void recordStandbyEnd(bool MayHaveRun);
+  /// Ends the standby, if there is one, since the answer comes from elsewhere
+  /// or is no longer wanted.
+  void dropStandby();
+  /// The state of a new attempt, which is in progress at the dispatcher.
+  void beginAttempt(const DispatchTarget &Target, AttemptNumber Number);
+  /// Begins an attempt at the dispatcher and the crash detector.
+  [[nodiscard]] AttemptNumber registerAttempt(const DispatchTarget &Target);
+  [[nodiscard]] HttpRequest makeEndpointRequest(const DispatchTarget &Target);
+  [[nodiscard]] HttpCallOptions makeCallOptions() const;
   void handleCallerDisconnect();
   void handleDeadline();
   [[nodiscard]] Duration remainingTime() const {
@@ -169,8 +195,12 @@
 
   /// Null while no attempt is in progress.
   HttpCallControl *CallControl = nullptr;
-  /// State of the newest attempt.
+  /// Null while no attempt runs beside the first one.
+  std::shared_ptr<StandbyAttempt> Standby;
+  StandbyRace Race;
+  /// State of the attempt whose answer is passed on.
   AttemptNumber CurrentAttempt = 0;
+  DispatchTargetName CurrentTarget;
   ResponseMetadata AnswerMetadata;
   HttpResponseHead AnswerHttpHead;
   std::string AnswerBody;
@@ -178,9 +208,8 @@
   std::optional<HeldBytes> HeldAnswer;
   bool HasAnswerHead = false;
   AnswerUse Use = AnswerUse::Whole;
-  bool IsAbandoned = false;
-  /// The retry budget has granted the attempt that follows an abandoned one.
-  bool IsRepeatGranted = false;
+  /// The standby delivered first: nothing more of this answer is passed on.
+  bool IsSuperseded = false;
   /// An event or a part of the body arrived.
   bool HasContent = false;
   /// The endpoint asked for a pause, in this answer or before the request was
@@ -192,6 +221,8 @@
   bool IsGivenUp = false;
 
   std::optional<TimePoint> LastEventAt;
+  /// The caller takes events; its engine is not read meanwhile.
+  bool IsWritingEvents = false;
   /// True if the head of a streamed answer was sent to the caller.
   bool StreamStarted = false;
   /// True if an endpoint may have run the request.
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -14,6 +14,28 @@
   return std::chrono::duration<double, std::milli>(Length).count();
 }
 
+std::string_view resultName(DispatchResult Result) {
+  switch (Result) {
+  case DispatchResult::Answered:
+    return "answered";
+  case DispatchResult::Refused:
+    return "refused-by-endpoint";
+  case DispatchResult::Paused:
+    return "endpoint-paused";
+  case DispatchResult::Failed:
+    return "endpoint-failed";
+  case DispatchResult::Unreachable:
+    return "unreachable";
+  case DispatchResult::Lost:
+    return "lost";
+  case DispatchResult::Cancelled:
+    return "given-up-here";
+  case DispatchResult::Superseded:
+    return "superseded";
+  }
+  return "";
+}
+
 void Dispatcher::update(std::span<const DispatchTarget> Updates) {
   for (const DispatchTarget &Update : Updates) {
     TargetRecord &Record = this->Targets[Update.Name];
@@ -60,8 +82,7 @@
   const DispatchTarget &Target = Candidate.Target;
   if (Target.Mode != DispatchTargetMode::Open ||
       this->DrainedDomains.contains(Target.FailureDomain) ||
-      this->HoldOffs.isLeaving(endpointOf(Candidate)) ||
-      this->isStalled(Now, Candidate))
+      this->HoldOffs.isLeaving(endpointOf(Candidate)))
     return false;
   return Now >= Target.ColdUntil || this->canSendToCold(Now, Candidate);
 }
@@ -90,9 +111,16 @@
          Now >= Candidate.NextColdRequestAt;
 }
 
-bool Dispatcher::isStalled(TimePoint Now, const TargetRecord &Record) const {
-  return Record.StalledSince &&
-         Now - *Record.StalledSince < this->Options.StallExpiry;
+bool Dispatcher::isDoubted(TimePoint Now, const TargetRecord &Record) const {
+  return Record.DoubtedAt &&
+         Now - *Record.DoubtedAt < this->Options.DoubtExpiry;
+}
+
+Dispatcher::Trust Dispatcher::trust(TimePoint Now,
+                                    const TargetRecord &Record) const {
+  if (Now < Record.BackOffUntil)
+    return Trust::BackingOff;
+  return this->isDoubted(Now, Record) ? Trust::Doubted : Trust::Sound;
 }
 
 /// A group beyond its slots is full once the wait for a slot would take too
@@ -262,8 +290,7 @@
 
 DispatchChoice Dispatcher::chooseTarget(TimePoint Now,
                                         const DispatchRequest &Request) {
-  std::vector<TargetRecord *> Ready;
-  std::vector<TargetRecord *> BackingOff;
+  std::map<Trust, std::vector<TargetRecord *>> ByTrust;
   DispatchChoice Choice;
   for (auto &[Name, Record] : this->Targets) {
     if (Record.Target.Service != Request.Service ||
@@ -273,6 +300,9 @@
         std::ranges::find(Request.ExcludedTargets, Name) !=
             Request.ExcludedTargets.end())
       continue;
+    Trust RecordTrust = this->trust(Now, Record);
+    if (Request.OnlyTrusted && RecordTrust != Trust::Sound)
+      continue;
     if (!this->HoldOffs.mayReceive(Now, endpointOf(Record))) {
       TimePoint End = this->HoldOffs.pauseEnd(endpointOf(Record)).value_or(Now);
       Choice.PausedUntil = std::min(Choice.PausedUntil.value_or(End), End);
@@ -280,12 +310,11 @@
                (!Request.AllowFull && this->isFull(Record, Request.Objective)))
       Choice.AllFull = true;
     else
-      (Now < Record.BackOffUntil ? BackingOff : Ready).push_back(&Record);
+      ByTrust[RecordTrust].push_back(&Record);
   }
-  // Targets in back-off are used only if there is no other.
-  std::vector<TargetRecord *> &Candidates = Ready.empty() ? BackingOff : Ready;
-  if (Candidates.empty())
+  if (ByTrust.empty())
     return Choice;
+  std::vector<TargetRecord *> &Candidates = ByTrust.begin()->second;
   std::ranges::shuffle(Candidates, this->Random);
   TargetRecord *Best = Candidates.front();
   if (Candidates.size() > 1 &&
@@ -333,7 +362,7 @@
   Current.HasStarted = true;
   Current.LastProgressAt = Now;
   Record.LastEventAt = Now;
-  Record.StalledSince.reset();
+  Record.DoubtedAt.reset();
   Record.SuspectedSince.reset();
   Record.ConsecutiveFailures = 0;
   this->HoldOffs.recordServed(Current.Endpoint, Current.SentAt);
@@ -367,7 +396,8 @@
   bool IsFailure = Result == DispatchResult::Failed ||
                    Result == DispatchResult::Lost ||
                    Result == DispatchResult::Unreachable;
-  if (Result != DispatchResult::Cancelled) {
+  if (Result != DispatchResult::Cancelled &&
+      Result != DispatchResult::Superseded) {
     Record.FailureRate += this->Options.SmoothingFactor *
                           ((IsFailure ? 1.0 : 0.0) - Record.FailureRate);
     Record.UpdatedAt = Now;
@@ -378,91 +408,66 @@
     this->HoldOffs.recordServed(Ended.Endpoint, Ended.SentAt);
   }
   if (Result == DispatchResult::Unreachable || Result == DispatchResult::Lost ||
-      Result == DispatchResult::Refused)
+      Result == DispatchResult::Refused || Result == DispatchResult::Superseded)
     this->backOff(Now, Record);
   if (Record.InFlight == 0 &&
       Record.Target.Mode == DispatchTargetMode::Finishing)
     this->Targets.erase(TargetName);
 }
 
-bool Dispatcher::hasTarget(TimePoint Now,
-                           const DispatchRequest &Request) const {
-  return std::ranges::any_of(this->Targets, [&](const auto &Each) {
-    const TargetRecord &Record = Each.second;
-    return Record.Target.Service == Request.Service &&
-           Record.Target.Model == Request.Model &&
-           this->isAvailable(Now, Record) && Now >= Record.BackOffUntil &&
-           std::ranges::find(Request.ExcludedTargets, Each.first) ==
-               Request.ExcludedTargets.end() &&
-           this->HoldOffs.mayReceive(Now, endpointOf(Record)) &&
-           !this->isFull(Record, Request.Objective);
-  });
+TimePoint Dispatcher::latestEventAt(const Attempt &Current) const {
+  auto Record = this->Targets.find(Current.TargetName);
+  if (Record == this->Targets.end() || !Record->second.LastEventAt)
+    return Current.LastProgressAt;
+  return std::max(Current.LastProgressAt, *Record->second.LastEventAt);
 }
 
-std::map<DispatchTargetName, TimePoint> Dispatcher::silentSince() const {
-  std::map<DispatchTargetName, TimePoint> Since;
-  for (const auto &[Number, Current] : this->Attempts) {
-    if (!Current.IsStream)
-      continue;
-    auto [Found, IsNew] = Since.try_emplace(Current.TargetName, Current.SentAt);
-    Found->second = std::min(Found->second, Current.SentAt);
-  }
-  for (auto &[Name, Time] : Since) {
-    auto Record = this->Targets.find(Name);
-    if (Record != this->Targets.end() && Record->second.LastEventAt)
-      Time = std::max(Time, *Record->second.LastEventAt);
-  }
-  return Since;
+Duration Dispatcher::silence(TimePoint Now, AttemptNumber Number) const {
+  auto Found = this->Attempts.find(Number);
+  return Found == this->Attempts.end()
+             ? Duration::zero()
+             : Now - this->latestEventAt(Found->second);
 }
 
-OtherTargets Dispatcher::otherTargets(
-    TimePoint Now, const DispatchTargetName &Name,
-    const std::map<DispatchTargetName, TimePoint> &SilentSince,
-    double TargetRecord::*MeanMs) const {
-  OtherTargets Others;
+std::vector<Duration>
+Dispatcher::usualTimes(const DispatchTargetName &Name,
+                       double TargetRecord::*MeanMs) const {
+  std::vector<Duration> Times;
   const DispatchTarget &Own = this->Targets.at(Name).Target;
-  for (const auto &[Other, Since] : SilentSince) {
-    auto Record = this->Targets.find(Other);
-    if (Other == Name || Record == this->Targets.end() ||
-        Record->second.Target.Service != Own.Service ||
-        Record->second.Target.Model != Own.Model)
-      continue;
-    Others.Silences.push_back(Now - Since);
-    if (double Mean = Record->second.*MeanMs; Mean > 0)
-      Others.UsualTimes.push_back(
+  for (const auto &[Other, Record] : this->Targets)
+    if (double Mean = Record.*MeanMs; Mean > 0 && Other != Name &&
+                                      Record.Target.Service == Own.Service &&
+                                      Record.Target.Model == Own.Model)
+      Times.push_back(
           std::chrono::microseconds(static_cast<std::int64_t>(Mean * 1000)));
-  }
-  return Others;
+  return Times;
 }
 
 std::vector<AttemptNumber> Dispatcher::findStalledAttempts(TimePoint Now) {
   std::vector<AttemptNumber> StalledAttempts;
-  std::map<DispatchTargetName, TimePoint> SilentSince = this->silentSince();
   for (const auto &[Number, Current] : this->Attempts) {
     if (!Current.IsStream)
       continue;
     TargetRecord &Record = this->Targets[Current.TargetName];
-    TimePoint LatestEventAt = Current.LastProgressAt;
-    if (Record.LastEventAt)
-      LatestEventAt = std::max(LatestEventAt, *Record.LastEventAt);
+    Duration Silence = Now - this->latestEventAt(Current);
     Duration Limit = Current.HasStarted ? this->Options.EventTimeout
                                         : this->Options.FirstEventTimeout;
     Duration SuspicionLead =
         this->Options.EventTimeout - this->Options.SuspicionTimeout;
     bool IsSuspected = Record.SuspectedSince &&
-                       Now - *Record.SuspectedSince < this->Options.StallExpiry;
-    if (Now - LatestEventAt >= Limit - SuspicionLead && !IsSuspected) {
+                       Now - *Record.SuspectedSince < this->Options.DoubtExpiry;
+    if (Silence >= Limit - SuspicionLead && !IsSuspected) {
       Record.SuspectedSince = Now;
       this->HasNewSuspicion = true;
     }
-    if (Now - LatestEventAt >= Limit && !this->isStalled(Now, Record) &&
-        isStalledBySilence(
-            Now - LatestEventAt, Limit,
-            this->otherTargets(Now, Current.TargetName, SilentSince,
-                               Current.HasStarted
-                                   ? &TargetRecord::MeanEventIntervalMs
-                                   : &TargetRecord::MeanFirstEventMs)))
-      Record.StalledSince = Now;
+    if (Silence >= Limit && Record.DoubtedAt != Now &&
+        isDoubtedBySilence(
+            Silence, Limit,
+            this->usualTimes(Current.TargetName,
+                             Current.HasStarted
+                                 ? &TargetRecord::MeanEventIntervalMs
+                                 : &TargetRecord::MeanFirstEventMs)))
+      Record.DoubtedAt = Now;
     if (Record.Target.Mode == DispatchTargetMode::Stalled)
       StalledAttempts.push_back(Number);
   }
@@ -474,7 +479,7 @@
   std::vector<TargetLoad> Loads;
   for (const auto &[Name, Record] : this->Targets) {
     bool Suspected = Record.SuspectedSince &&
-                     Now - *Record.SuspectedSince < this->Options.StallExpiry;
+                     Now - *Record.SuspectedSince < this->Options.DoubtExpiry;
     if (Record.InFlight == 0 && !Suspected && !Record.LastEventAt)
       continue;
     TargetLoad Load{.Name = Name,
@@ -505,7 +510,7 @@
     Total.InFlight += Record.InFlight + Record.RemoteInFlight;
     EndpointHoldOffs::Endpoint Endpoint = endpointOf(Record);
     bool Usable = Record.Target.Mode == DispatchTargetMode::Open &&
-                  !Record.StalledSince && !this->HoldOffs.isLeaving(Endpoint) &&
+                  !Record.DoubtedAt && !this->HoldOffs.isLeaving(Endpoint) &&
                   !this->HoldOffs.pauseEnd(Endpoint) &&
                   !this->DrainedDomains.contains(Record.Target.FailureDomain);
     if (Usable)
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -27,6 +27,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -59,8 +60,8 @@
 };
 
 struct DispatchOptions {
-  /// A target may be stalled if no stream that has started there receives an
-  /// event for this long (StallRule.h). One pass of a full group takes a tenth
+  /// A target is in doubt if no stream that has started there receives an event
+  /// for this long (StallRule.h). One pass of a full group takes a tenth
   /// of it.
   Duration EventTimeout = std::chrono::milliseconds(450);
   /// After this long the target is reported to the control hosts as suspected,
@@ -70,9 +71,9 @@
   /// As EventTimeout, for a stream that waits for its first event; includes
   /// the wait for a slot and the processing of the prompt.
   Duration FirstEventTimeout = std::chrono::milliseconds(700);
-  /// A stalled target is tried again after this time, unless the control hosts
-  /// have changed its mode by then.
-  Duration StallExpiry = std::chrono::milliseconds(1000);
+  /// A doubt without streams in progress ends after this time, so that the
+  /// target is tried again. A suspicion is repeated after it.
+  Duration DoubtExpiry = std::chrono::milliseconds(1000);
   /// Back-off after a failed connection, doubled with each consecutive failure
   /// up to MaxBackOff.
   Duration MinBackOff = std::chrono::milliseconds(250);
@@ -122,6 +123,9 @@
   std::span<const DispatchTargetName> ExcludedTargets = {};
   /// For requests that were admitted: a full target may be selected.
   bool AllowFull = false;
+  /// For a second attempt beside one that goes on: no target in doubt or in
+  /// back-off is selected.
+  bool OnlyTrusted = false;
 };
 
 /// The selected target, or why there is none.
@@ -157,8 +161,13 @@
   Lost,
   /// Ended by this host: caller disconnected, or deadline passed.
   Cancelled,
+  /// Ended by this host: a second attempt beside it delivered first.
+  Superseded,
 };
 
+/// \returns the name of \p Result in log lines.
+[[nodiscard]] std::string_view resultName(DispatchResult Result);
+
 class Dispatcher {
 public:
   explicit Dispatcher(DispatchOptions Options)
@@ -230,14 +239,12 @@
     return std::exchange(this->HasNewSuspicion, false);
   }
 
-  /// \returns whether a target other than the excluded ones could take the
-  /// request now.
-  [[nodiscard]] bool hasTarget(TimePoint Now,
-                               const DispatchRequest &Request) const;
+  /// \returns for how long no event has come from the target of \p Attempt, at
+  /// most since that attempt began.
+  [[nodiscard]] Duration silence(TimePoint Now, AttemptNumber Attempt) const;
 
-  /// Attempts whose target is stalled by the word of the control hosts, to be
-  /// abandoned if they can be retried elsewhere. A target that is only silent
-  /// gets no new requests for a while.
+  /// Attempts whose target is stalled by the word of the control hosts. A
+  /// target that is only silent comes into doubt.
   [[nodiscard]] std::vector<AttemptNumber> findStalledAttempts(TimePoint Now);
 
   struct TargetLoad {
@@ -264,6 +271,8 @@
                                     const ModelName &Model) const;
 
 private:
+  /// A target is selected only if there is none of a lower value.
+  enum class Trust { Sound, Doubted, BackingOff };
   struct TargetRecord {
     DispatchTarget Target;
     int InFlight = 0;
@@ -278,8 +287,9 @@
     std::optional<TimePoint> LastEventAt;
     TimePoint BackOffUntil = TimePoint::min();
     int ConsecutiveFailures = 0;
-    /// When the target was found stalled or suspected; an event clears both.
-    std::optional<TimePoint> StalledSince;
+    /// When the target was last found in doubt, and since when it is suspected;
+    /// an event clears both.
+    std::optional<TimePoint> DoubtedAt;
     std::optional<TimePoint> SuspectedSince;
     /// Cold endpoints: earliest time of the next request from this host.
     TimePoint NextColdRequestAt = TimePoint::min();
@@ -302,15 +312,15 @@
 
   [[nodiscard]] bool isAvailable(TimePoint Now,
                                  const TargetRecord &Candidate) const;
-  [[nodiscard]] bool isStalled(TimePoint Now, const TargetRecord &Record) const;
-  /// Since when each target has had streams in progress and has sent no event.
-  [[nodiscard]] std::map<DispatchTargetName, TimePoint> silentSince() const;
-  /// The targets of the model of \p Name but that one itself. \p MeanMs is the
-  /// average that tells the usual time.
-  [[nodiscard]] OtherTargets
-  otherTargets(TimePoint Now, const DispatchTargetName &Name,
-               const std::map<DispatchTargetName, TimePoint> &SilentSince,
-               double TargetRecord::*MeanMs) const;
+  [[nodiscard]] bool isDoubted(TimePoint Now, const TargetRecord &Record) const;
+  [[nodiscard]] Trust trust(TimePoint Now, const TargetRecord &Record) const;
+  /// \p MeanMs of the targets of the model of \p Name but that one itself.
+  [[nodiscard]] std::vector<Duration>
+  usualTimes(const DispatchTargetName &Name,
+             double TargetRecord::*MeanMs) const;
+  /// \returns when the target of \p Current sent an event last, not before the
+  /// start of that attempt.
+  [[nodiscard]] TimePoint latestEventAt(const Attempt &Current) const;
   [[nodiscard]] static EndpointHoldOffs::Endpoint
   endpointOf(const TargetRecord &Record) {
     return {.Name = Record.Target.Endpoint,
--- a/Libraries/LibEntry/EndpointProtocol.h
+++ b/Libraries/LibEntry/EndpointProtocol.h
@@ -88,6 +88,12 @@
   bool Encoded = false;
 };
 
+/// \returns whether an answer is a success with the endpoint's own events.
+inline bool carriesEvents(const ResponseMetadata &Metadata, unsigned Status) {
+  return Metadata.IsEventStream && Status < 300 && Metadata.Signed &&
+         !Metadata.Encoded;
+}
+
 class EndpointProtocol {
 public:
   EndpointProtocol() = default;
--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -6,6 +6,7 @@
 #include <LibTelemetry/Log.h>
 #include <LibTelemetry/MemoryMetrics.h>
 #include <LibTelemetry/Supervision.h>
+#include <algorithm>
 #include <boost/algorithm/string/join.hpp>
 
 namespace asio = boost::asio;
@@ -44,7 +45,7 @@
                     .ProcessMetrics = this->ProcessMetrics,
                     .Budget = this->Budget,
                     .Limits = this->Limits,
-                    .AbandonCallbacks = {},
+                    .StandbyCallbacks = {},
                     .ActiveSessions = {}},
       CallerServer(Context.get_executor(),
                    {.Listen = this->Settings.CallerAddress,
@@ -200,11 +201,9 @@
     co_await Timer.async_wait(Token);
     std::vector<AttemptNumber> StalledAttempts =
         this->State.RequestDispatcher.findStalledAttempts(monotonicNow());
-    for (AttemptNumber Number : StalledAttempts) {
-      auto Found = this->SharedContext.AbandonCallbacks.find(Number);
-      if (Found != this->SharedContext.AbandonCallbacks.end())
-        Found->second();
-    }
+    for (const auto &[Number, StartIfNeeded] :
+         this->SharedContext.StandbyCallbacks)
+      StartIfNeeded(std::ranges::binary_search(StalledAttempts, Number));
     this->updatePromptGuard(monotonicNow());
     if (this->State.RequestDispatcher.consumeNewLimit())
       this->Subscriber.requestPulse();
--- a/Libraries/LibEntry/RetryBudget.cpp
+++ b/Libraries/LibEntry/RetryBudget.cpp
@@ -24,7 +24,7 @@
 }
 
 bool RetryBudget::tryAcquire(TimePoint Now, int EntryHosts) {
-  if (this->usedRetries(Now) + 1 > this->allowedRetries(Now, EntryHosts))
+  if (!this->isAvailable(Now, EntryHosts))
     return false;
   this->Retries.push_back(Now);
   return true;
--- a/Libraries/LibEntry/RetryBudget.h
+++ b/Libraries/LibEntry/RetryBudget.h
@@ -32,6 +32,10 @@
   explicit RetryBudget(RetryBudgetOptions Options) : Options(Options) {}
 
   void recordRequest(TimePoint Now) { this->Requests.push_back(Now); }
+  /// \returns whether tryAcquire() would succeed now.
+  [[nodiscard]] bool isAvailable(TimePoint Now, int EntryHosts) {
+    return this->usedRetries(Now) + 1 <= this->allowedRetries(Now, EntryHosts);
+  }
   /// Takes one retry from the budget. \p EntryHosts hosts share the slack.
   /// \returns whether the budget allowed it.
   bool tryAcquire(TimePoint Now, int EntryHosts);
--- a/Libraries/LibEntry/StallRule.h
+++ b/Libraries/LibEntry/StallRule.h
@@ -3,10 +3,10 @@
 /// \file
 /// A group that has lost a member accepts requests and sends nothing. A slow
 /// group sends nothing for a while either, and each stream that is given up
-/// there is work lost. So silence only keeps new requests away, and only where
-/// other groups of the model go on. A stream is given up once the control
-/// hosts, which ask the members, say that its group is stalled, and only if it
-/// can be repeated at once. Any other one waits for its engine.
+/// there is work lost. So silence is a doubt only: new requests prefer other
+/// groups of the model. A stream that waits too long for the patience of its
+/// caller, or whose group the control hosts call stalled, gets a standby: a
+/// second attempt beside it. Any other one waits for its engine.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -14,43 +14,43 @@
 #define LIBENTRY_STALLRULE_H
 
 #include <LibCore/Time.h>
-#include <vector>
+#include <span>
 
 namespace carobhinge {
 
-/// The other targets of a model that have streams in progress.
-struct OtherTargets {
-  /// For each, the time for which it has had work without sending an event.
-  std::vector<Duration> Silences = {};
-  /// For each that has sent events, the usual time between two of them, or
-  /// until the first one of a stream.
-  std::vector<Duration> UsualTimes = {};
-};
-
-/// \returns whether a target that has been silent for \p Silence should get no
-/// new requests for now. \p Limit is the shortest silence that counts.
-bool isStalledBySilence(Duration Silence, Duration Limit,
-                        const OtherTargets &Others);
-
-/// What decides whether an attempt at a stalled target is given up.
-struct AbandonFacts {
+/// \returns whether new requests should prefer other targets to one that has
+/// been silent for \p Silence. \p Limit is the shortest silence that counts;
+/// \p UsualTimes are the usual times between two events, or until the first
+/// one, at the other targets of its model.
+bool isDoubtedBySilence(Duration Silence, Duration Limit,
+                        std::span<const Duration> UsualTimes);
+
+/// \returns the silence after which callers give up a stream.
+Duration callerPatience(Duration Objective, Duration PauseObjective);
+
+/// What decides whether a second attempt starts beside the one in progress.
+struct StandbyFacts {
+  /// The time for which no event has come from the target of the first one.
+  Duration Silence{};
+  /// The control hosts say that its group has lost a member.
+  bool IsStalled = false;
   /// The route's streams may be resumed elsewhere.
   bool IsResumable = false;
   /// Endpoints that may have run the request, with this one; the most that may.
   int PossibleRuns = 1;
   int EndpointsPerRequest = 1;
   Duration RemainingTime{};
-  /// The time in which the first event of the repeat should arrive.
+  /// The time in which the first event should arrive, and the longest pause
+  /// between two of them.
   Duration Objective{};
-  /// Another target can take the request now.
-  bool HasOtherTarget = false;
+  Duration PauseObjective{};
   /// The prompt is not refused, held back or suspected of crashing engines.
   bool IsPromptSound = true;
 };
 
-/// \returns whether the request can be repeated at once, apart from the retry
-/// budget, which is asked last.
-bool canRepeatAtOnce(const AbandonFacts &Facts);
+/// \returns whether a standby should start, if there are a place for it and a
+/// retry in the budget.
+bool shouldStartStandby(const StandbyFacts &Facts);
 
 } // namespace carobhinge
 
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -37,6 +37,7 @@
        {"request", "endpoint", "place", "end", "reason", "status",
         "retry_after_ms", "leaving", "last_event", "prompt_parts", "in_flight",
         "slots", "after_ms"}},
+      {"standby", {"request", "endpoint", "place", "end", "silent_ms"}},
       {"limit-reached", {"limit", "peer", "count"}},
       {"endpoint-leaving", {"request", "endpoint"}},
       {"engine-crashed", {"endpoint", "prompts"}},
