Soak: Let endpoints be silent and go on

Draws series of silences of 0.3 to 1.5 s, of one endpoint, half of a group or a failure domain, each series beside a change of the catalog, a reload or a stop, and overlapping the other kinds.

A new guarantee: beside a silence, and no fault, no request is lost, and none is answered as unknown before its time has passed. The summary lines say how many requests were lost beside a silence, and how often a host took an endpoint for lost or crashed that went on in the same life (false alarms).

--- a/Soak/FaultPlan.cpp
+++ b/Soak/FaultPlan.cpp
@@ -12,7 +12,7 @@
 namespace carobhinge {
 
 /// In the order of the enumerators of FaultKind.
-static constexpr std::array<const char *, 25> KindNames = {"kill",
+static constexpr std::array<const char *, 26> KindNames = {"kill",
                                                            "kill and wipe",
                                                            "stop",
                                                            "freeze",
@@ -36,13 +36,17 @@
                                                            "host slow",
                                                            "restart of all",
                                                            "change series",
-                                                           "disk full"};
+                                                           "disk full",
+                                                           "silence"};
 /// The kinds before this one are drawn by the first generator.
 static constexpr auto FirstApart =
     static_cast<std::size_t>(FaultKind::EndlessAnswers);
 /// The kinds from this one on are drawn by DiskGenerator.
 static constexpr auto FirstOfDisk =
     static_cast<std::size_t>(FaultKind::DiskFull);
+/// In the order of the enumerators of SilenceScope.
+static constexpr std::array<const char *, 3> ScopeNames = {
+    "alone", "half of its group", "all of its failure domain"};
 /// In the order of the enumerators of LinkMode.
 static constexpr std::array<const char *, 5> ModeNames = {
     "delayed", "cut", "stalled", "one way", "dark"};
@@ -63,6 +67,9 @@
       Each.Kind == FaultKind::EndpointLink || Each.Kind == FaultKind::HostCut;
   if (IsLinkFault)
     Text += std::string(", ") + ModeNames[static_cast<std::size_t>(Each.Mode)];
+  if (Each.Kind == FaultKind::EndpointSilence)
+    Text +=
+        std::string(", ") + ScopeNames[static_cast<std::size_t>(Each.Scope)];
   return Text;
 }
 
@@ -227,6 +234,57 @@
   const FaultPlanOptions &Options;
 };
 
+/// Draws silences in series, each beside a change, a reload or a stop.
+class SilenceGenerator {
+public:
+  SilenceGenerator(std::uint64_t Seed, const FaultPlanOptions &Options)
+      : Random(hash64("silence", Seed)), Options(Options) {}
+
+  std::vector<Fault> generate() {
+    std::vector<Fault> Faults;
+    std::size_t SeriesCount = 1 + this->randomBelow(3);
+    for (std::size_t I = 0; I < SeriesCount; ++I)
+      this->addSeries(Faults);
+    return Faults;
+  }
+
+private:
+  void addSeries(std::vector<Fault> &Faults) {
+    static constexpr std::array Companions = {
+        FaultKind::CatalogChange, FaultKind::Reload, FaultKind::Stop};
+    Duration StartTime = this->randomDuration(
+        0, std::chrono::duration_cast<std::chrono::milliseconds>(
+               this->Options.StartWindow)
+               .count());
+    Fault Companion{.StartTime = StartTime + this->randomDuration(0, 1000)};
+    Companion.Kind = Companions[this->randomBelow(Companions.size())];
+    Companion.Target = this->randomBelow(this->Options.Hosts);
+    Faults.push_back(Companion);
+    std::size_t Count = 1 + this->randomBelow(4);
+    Duration Gap = this->randomDuration(100, 2500);
+    for (std::size_t I = 0; I < Count; ++I) {
+      Fault Each{.StartTime = StartTime, .Kind = FaultKind::EndpointSilence};
+      Each.Target = this->randomBelow(this->Options.Endpoints);
+      Each.Length = this->randomDuration(300, 1500);
+      Each.Scope =
+          static_cast<SilenceScope>(this->randomBelow(ScopeNames.size()));
+      Faults.push_back(Each);
+      StartTime += Gap;
+    }
+  }
+
+  /// Returns a number from 0 up to but not including \p Bound.
+  std::size_t randomBelow(std::size_t Bound) { return this->Random() % Bound; }
+  Duration randomDuration(std::int64_t MinMs, std::int64_t MaxMs) {
+    return std::chrono::milliseconds(
+        MinMs + static_cast<std::int64_t>(this->randomBelow(
+                    static_cast<std::size_t>(MaxMs - MinMs))));
+  }
+
+  std::mt19937_64 Random;
+  const FaultPlanOptions &Options;
+};
+
 } // namespace
 
 std::vector<Fault> planFaults(std::uint64_t Seed,
@@ -240,6 +298,8 @@
     LostDisk = Wipe->Target;
   std::ranges::move(DiskGenerator(Seed, Options).generate(LostDisk),
                     std::back_inserter(Faults));
+  std::ranges::move(SilenceGenerator(Seed, Options).generate(),
+                    std::back_inserter(Faults));
   std::ranges::stable_sort(Faults, {}, &Fault::StartTime);
   return Faults;
 }
--- a/Soak/FaultPlan.h
+++ b/Soak/FaultPlan.h
@@ -13,6 +13,7 @@
 
 #include <LibCore/Time.h>
 #include <LibStandIn/LinkStandIn.h>
+#include <PlatformWorld/EndpointSimulator.h>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -68,6 +69,8 @@
   ChangeSeries,
   /// The disk of a control host is full.
   DiskFull,
+  /// Endpoints stand still and go on; see SilenceScope.
+  EndpointSilence,
 };
 
 struct Fault {
@@ -82,6 +85,8 @@
   /// Mode and delay of link faults.
   LinkMode Mode = LinkMode::Cut;
   Duration Delay{};
+  /// Which endpoints fall silent.
+  SilenceScope Scope = SilenceScope::Alone;
   /// Index of the form of bytes without end.
   std::size_t Form = 0;
 };
@@ -97,8 +102,9 @@
 };
 
 /// Returns the faults in order of their start. Equal seeds and options give
-/// equal plans. The kinds from EndlessAnswers on are drawn apart, and DiskFull
-/// again, so that the others of a seed do not depend on them.
+/// equal plans. The kinds from EndlessAnswers on are drawn apart, DiskFull
+/// again, and EndpointSilence with what overlaps it once more, so that the
+/// others of a seed do not depend on them.
 std::vector<Fault> planFaults(std::uint64_t Seed,
                               const FaultPlanOptions &Options);
 
--- a/Soak/Main.cpp
+++ b/Soak/Main.cpp
@@ -12,10 +12,11 @@
 
 using namespace carobhinge;
 
-/// Adds to \p Losses the requests of the seed without a whole answer.
+/// Adds to \p Losses the requests of the seed without a whole answer, and to
+/// \p FalseAlarms how often a sound endpoint was taken for lost or crashed.
 /// \returns true if the run of the seed ended without violations.
 static bool runSeed(std::uint64_t Seed, bool WithoutEndless,
-                    LossSummary &Losses) {
+                    LossSummary &Losses, unsigned &FalseAlarms) {
   std::vector<std::string> Violations;
   SoakRun Run(Seed, WithoutEndless);
   try {
@@ -25,6 +26,7 @@
   }
   CallCounts Counts = Run.counts();
   Losses.add(Run.losses());
+  FalseAlarms += Run.falseAlarms();
   std::printf("seed %llu: %zu faults, %u answered, %u refused, %u unknown, "
               "%u cut off, %u not reached; %s\n",
               static_cast<unsigned long long>(Seed), Run.faults().size(),
@@ -32,8 +34,9 @@
               Counts.count(CallEnd::Unknown), Counts.count(CallEnd::CutOff),
               Counts.count(CallEnd::NotReached),
               Violations.empty() ? "all guarantees kept" : "BROKEN");
-  std::printf("  %s; at most %.0f MiB resident\n",
-              Run.losses().describe().c_str(), Run.peakMegabytes());
+  std::printf("  %s; %u false alarms; at most %.0f MiB resident\n",
+              Run.losses().describe().c_str(), Run.falseAlarms(),
+              Run.peakMegabytes());
   if (!Violations.empty())
     for (const Fault &Each : Run.faults())
       std::printf("  %s\n", describe(Each).c_str());
@@ -69,11 +72,12 @@
   ChildProcess::killAllWhenInterrupted();
   std::uint64_t FailedSeeds = 0;
   LossSummary Losses;
+  unsigned FalseAlarms = 0;
   for (std::uint64_t Seed = FirstSeed; Seed < FirstSeed + SeedCount; ++Seed)
-    FailedSeeds += runSeed(Seed, !Without.empty(), Losses) ? 0 : 1;
-  std::printf("soak: seeds=%llu failed=%llu; %s\n",
+    FailedSeeds += runSeed(Seed, !Without.empty(), Losses, FalseAlarms) ? 0 : 1;
+  std::printf("soak: seeds=%llu failed=%llu; %s; %u false alarms\n",
               static_cast<unsigned long long>(SeedCount),
               static_cast<unsigned long long>(FailedSeeds),
-              Losses.describe().c_str());
+              Losses.describe().c_str(), FalseAlarms);
   return FailedSeeds == 0 ? 0 : 1;
 }
--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -1,7 +1,6 @@
 //===- Soak/SoakRun.cpp - The run of one seed -----------------------------===//
 
 #include <LibStandIn/EndlessForm.h>
-#include <PlatformWorld/LogReader.h>
 #include <Soak/SoakRun.h>
 #include <algorithm>
 #include <csignal>
@@ -373,6 +372,8 @@
     return this->schedule(Each.Length, [this, Target] {
       this->Deployment.setDiskFull(Target, false);
     });
+  case FaultKind::EndpointSilence:
+    return Endpoints.fallSilent(Target, Each.Scope, Each.Length);
   case FaultKind::RestartAll:
     this->changeCatalog();
     return this->schedule(RestartAllDelay, [this] {
@@ -411,6 +412,25 @@
     }
 }
 
+void SoakRun::checkLosses(const LogSummary &Log) {
+  EndpointSimulator &Endpoints = this->Deployment.endpoints();
+  Duration Lag = this->Caller.longestLag();
+  for (const EndpointSilence &Each : Endpoints.silences())
+    this->recordEvent(Each.isSound(Lag) ? LossCause::Silence : LossCause::Fault,
+                      std::nullopt, Each.From, Each.Until);
+  std::vector<CallRecord> Calls =
+      this->Caller.calls(this->Deployment.executionLog());
+  for (CallRecord &Each : Calls)
+    Each.IsUnknown = Each.IsUnknown && !Log.ranOutOfTime(Each.AttemptId);
+  this->Losses = this->Lost.review(Calls, Lag);
+  std::ranges::copy(this->Losses.Violations,
+                    std::back_inserter(this->Violations));
+  this->FalseAlarms = static_cast<unsigned>(
+      std::ranges::count_if(Log.Alarms, [&](const EndpointAlarm &Each) {
+        return Endpoints.wasSoundAt(Each.Endpoint, Each.At, Lag);
+      }));
+}
+
 void SoakRun::checkRecovery() {
   this->CrashingCallers.clear();
   if (this->LastChange.valid())
@@ -444,11 +464,8 @@
     this->Violations.push_back(std::move(Each));
   for (std::size_t I = 0; I < this->Deployment.hosts(); ++I)
     this->checkMemory(I);
-  this->Losses =
-      this->Lost.review(this->Caller.calls(this->Deployment.executionLog()),
-                        this->Caller.longestLag());
-  std::ranges::copy(this->Losses.Violations,
-                    std::back_inserter(this->Violations));
+  LogSummary Log = readLogs(this->Deployment.logs());
+  this->checkLosses(Log);
   EndpointSimulator &Endpoints = this->Deployment.endpoints();
   if (std::size_t Most = Endpoints.mostArrivalsInPause(); Most > AllowedInPause)
     this->Violations.push_back("an endpoint got " + std::to_string(Most) +
@@ -458,9 +475,7 @@
     this->Violations.push_back("endpoints that leave got " +
                                std::to_string(this->Notes.size()) +
                                " requests");
-  std::vector<std::filesystem::path> Paths = this->Deployment.logs();
-  for (std::string &Each : readLogs(Paths).Faults)
-    this->Violations.push_back(std::move(Each));
+  std::ranges::move(Log.Faults, std::back_inserter(this->Violations));
 }
 
 std::vector<std::string> SoakRun::run() {
--- a/Soak/SoakRun.h
+++ b/Soak/SoakRun.h
@@ -9,6 +9,7 @@
 #ifndef SOAK_SOAKRUN_H
 #define SOAK_SOAKRUN_H
 
+#include <PlatformWorld/LogReader.h>
 #include <PlatformWorld/LostRequests.h>
 #include <PlatformWorld/PlatformVerifyingCaller.h>
 #include <PlatformWorld/RawSenders.h>
@@ -30,6 +31,9 @@
   [[nodiscard]] CallCounts counts() const { return this->Caller.counts(); }
   /// The requests that ended without a whole answer.
   [[nodiscard]] const LossSummary &losses() const { return this->Losses; }
+  /// How often a host took an endpoint for lost or crashed that went on in the
+  /// same life.
+  [[nodiscard]] unsigned falseAlarms() const { return this->FalseAlarms; }
   /// The most memory in MiB that one of the processes has had.
   [[nodiscard]] double peakMegabytes() const { return this->PeakMegabytes; }
   /// Details of violations.
@@ -71,6 +75,8 @@
   void endFaults();
   /// Checks the most memory that a running process of \p Host has had.
   void checkMemory(std::size_t Host);
+  /// Checks that no request was lost that must not be, and counts false alarms.
+  void checkLosses(const LogSummary &Log);
   /// Checks that all entry hosts serve again, that the acknowledged catalog
   /// version is not lost, and the callers' records and the logs.
   void checkRecovery();
@@ -95,6 +101,7 @@
   /// Guarded by LostLock.
   LostRequests Lost;
   LossSummary Losses;
+  unsigned FalseAlarms = 0;
   double PeakMegabytes = 0;
   /// Requests without end, by a number of each fault.
   std::map<std::size_t, std::unique_ptr<RawSenders>> Senders;
