LibControl: Don't count ends by order as crashes of engines

Entry hosts see only that all connections closed, and the prompts that ran there became suspects.

EngineEndEvidence, without sockets or clock, holds what the leader knows: a prompt that began before an accepted order to its engine, and was lost from that order on and no later than EndingSilence after it, ended by the order. An answer to a call from before the report shows nothing: a host reports the time of its first lost connection, and the engine may have crashed after that.

Reports that don't count are logged as `crash-disproved`, with the reason, and counted in the metric crashes_disproved.

Tests: EngineEndEvidence (with a property over drawn orders and one crash); PromptRefusals.EnginesThatWereOrderedToLeaveAreNoEvidence and EnginesThatAnswerAfterTheReportAreNoEvidence fail without the two checks.

--- a/Libraries/LibControl/ControlCalls.cpp
+++ b/Libraries/LibControl/ControlCalls.cpp
@@ -145,6 +145,8 @@
   this->ProcessMetrics.setGauge(
       "refused_prompts",
       static_cast<double>(this->State.state().refused_prompts_size()));
+  this->ProcessMetrics.setGauge(
+      "crashes_disproved", static_cast<double>(this->Refusals.disproved()));
   this->Coordinator.updateMetrics(this->ProcessMetrics);
   reportMemory(this->ProcessMetrics, this->Budget);
   HttpResponse Answer{.Status = 200,
--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -134,6 +134,9 @@
                     [this](HttpExchange &Exchange) {
                       return this->serveOperators(Exchange);
                     }) {
+  this->Coordinator.setAnswerHandler([this](const EngineAnswer &Answer) {
+    this->Refusals.recordEngineAnswer(Answer);
+  });
   for (const HostName &Host : seedHosts(this->Settings))
     this->Hosts.addHost(this->StartedAt, Host);
 }
@@ -300,6 +303,7 @@
                                 this->Coordinator.engines().all().size())}});
   }
   this->runStep();
+  this->askReportedEngines();
   this->updateRefusals(Now);
 }
 
@@ -334,6 +338,14 @@
     this->Subscriptions.notify();
 }
 
+void ControlProcess::askReportedEngines() {
+  EngineEndEvidence &Evidence = this->Refusals.endEvidence();
+  std::set<EndpointName> Engines = Evidence.enginesToAsk();
+  for (const EndpointName &Engine : Engines)
+    if (this->Coordinator.askWhetherRunning(Engine))
+      Evidence.recordAsked(Engine);
+}
+
 void ControlProcess::updateRefusals(TimePoint Now) {
   if (this->Refusals.updateSuspects(Now))
     this->Subscriptions.notify();
--- a/Libraries/LibControl/ControlProcess.h
+++ b/Libraries/LibControl/ControlProcess.h
@@ -62,6 +62,8 @@
   /// Begins the next change of the refused prompts, if the evidence justifies
   /// one.
   void updateRefusals(TimePoint Now);
+  /// Asks the engines that were reported as crashed whether they go on.
+  void askReportedEngines();
   /// \returns whether the change is committed.
   boost::asio::awaitable<bool> commitRefusal(message::RegisterCommand Command);
   /// Runs a step before the next tick.
--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -20,6 +20,8 @@
 /// A group with a leaving member finishes this long before the member may stop.
 static constexpr auto FinishMargin = std::chrono::milliseconds(100);
 static constexpr auto FleetLogInterval = std::chrono::seconds(1);
+/// An answer that comes later finds the crash judged.
+static constexpr auto QuestionTimeout = std::chrono::milliseconds(300);
 /// Answers to orders and probes are short.
 static constexpr std::size_t MaxAnswerBytes = 64 * 1024;
 
@@ -138,7 +140,15 @@
 }
 
 void GroupCoordinator::recordAnswer(TimePoint SentAt, const EndpointName &Id,
-                                    const HttpResponseHead &Answer) {
+                                    const HttpResponseHead &Answer,
+                                    bool EndsRequests) {
+  if (this->AnswerHandler) {
+    EngineAnswer Evidence{.Engine = Id,
+                          .SentAt = SentAt,
+                          .AnsweredAt = monotonicNow(),
+                          .EndsRequests = EndsRequests};
+    this->AnswerHandler(Evidence);
+  }
   const EngineRecord *Record = this->Engines.find(Id);
   if (Record == nullptr)
     return;
@@ -159,6 +169,41 @@
               this->probeEngine(Id, Record->Report.Address));
 }
 
+bool GroupCoordinator::askWhetherRunning(const EndpointName &Id) {
+  if (this->AskedEngines.contains(Id))
+    return false;
+  const EngineRecord *Record = this->Engines.find(Id);
+  if (Record == nullptr || !this->maySend(monotonicNow(), Id))
+    return true;
+  this->AskedEngines.insert(Id);
+  spawnTask(this->Executor, "question to an engine",
+            this->askEngine(Id, Record->Report.Address));
+  return true;
+}
+
+asio::awaitable<void> GroupCoordinator::askEngine(EndpointName Id,
+                                                  std::string Address) {
+  HttpCallOptions Options;
+  Options.ConnectTimeout = QuestionTimeout;
+  Options.HeadTimeout = QuestionTimeout;
+  Options.ChunkTimeout = QuestionTimeout;
+  Options.FreshConnection = true;
+  HttpRequest Request = this->Protocol.makeProbeRequest();
+  TimePoint SentAt = monotonicNow();
+  HttpFetchResult Answer;
+  try {
+    Answer = co_await this->Client.fetch(std::move(Address), std::move(Request),
+                                         std::move(Options), MaxAnswerBytes);
+  } catch (...) {
+    this->AskedEngines.erase(Id);
+    throw;
+  }
+  this->AskedEngines.erase(Id);
+  this->recordLimit(Id, Answer.Limit);
+  if (Answer.Outcome == HttpCallOutcome::Complete)
+    this->recordAnswer(SentAt, Id, Answer.Head);
+}
+
 asio::awaitable<void> GroupCoordinator::probeEngine(EndpointName Id,
                                                     std::string Address) {
   Duration Timeout = EngineFailureDetectorOptions().ProbeTimeout;
@@ -203,6 +248,17 @@
   return "";
 }
 
+bool GroupCoordinator::endsRequests(const EngineOrder &Order) const {
+  const EngineRecord *Record = this->Engines.find(Order.Recipient);
+  if (Record == nullptr || !Record->Report.Group)
+    return false;
+  const GroupMembership &Current = *Record->Report.Group;
+  bool IsCurrent = Current.Group == Order.Group && Current.Epoch == Order.Epoch;
+  return Order.Verb == OrderVerb::Join    ? !IsCurrent
+         : Order.Verb == OrderVerb::Leave ? IsCurrent
+                                          : false;
+}
+
 asio::awaitable<void> GroupCoordinator::sendOrder(EngineOrder Order) {
   HttpCallOptions Options;
   Options.ConnectTimeout = OrderTimeout;
@@ -213,6 +269,7 @@
   Options.FreshConnection = true;
   HttpRequest Request = this->Protocol.makeOrderRequest(Order);
   std::string Address = Order.Address;
+  bool EndsRequests = this->endsRequests(Order);
   TimePoint SentAt = monotonicNow();
   HttpFetchResult Answer;
   try {
@@ -232,7 +289,8 @@
   OrderResult Result = OrderResult::Unanswered;
   if (Answer.Outcome == HttpCallOutcome::Complete) {
     Result = this->Protocol.readOrderResult(Answer.Head.Status);
-    this->recordAnswer(SentAt, Order.Recipient, Answer.Head);
+    this->recordAnswer(SentAt, Order.Recipient, Answer.Head,
+                       EndsRequests && Result == OrderResult::Accepted);
   }
   logEvent(Severity::Info, "order",
            {{"endpoint", Order.Recipient},
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -16,10 +16,12 @@
 #include <LibFormation/FormationPlanner.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibRouting/EndpointHoldOffs.h>
+#include <LibRouting/EngineEndEvidence.h>
 #include <LibSettings/HostSettings.h>
 #include <LibTelemetry/LimitReports.h>
 #include <LibTelemetry/Metrics.h>
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <map>
 
 namespace carobhinge {
@@ -34,6 +36,13 @@
   /// Records a report. \returns whether it was new.
   bool recordReport(TimePoint ReceivedAt, EngineReport Report);
   bool recordLeave(const EndpointName &Id);
+  /// \p Handler gets every answer of an engine to a probe or an order.
+  void setAnswerHandler(std::function<void(const EngineAnswer &)> Handler) {
+    this->AnswerHandler = std::move(Handler);
+  }
+  /// Sends \p Id a call of which only the answer counts, as evidence that the
+  /// engine goes on. \returns false while another such call is on its way.
+  bool askWhetherRunning(const EndpointName &Id);
   void setEnds(EndpointEnds Ends) { this->Engines.setEnds(std::move(Ends)); }
   /// Removes endpoints without reports and what is known of them. Also on hosts
   /// that don't lead.
@@ -82,11 +91,14 @@
   [[nodiscard]] bool maySend(TimePoint Now, const EndpointName &Id);
   /// Takes note of a pause that an answer of \p Id asks for.
   void recordAnswer(TimePoint SentAt, const EndpointName &Id,
-                    const HttpResponseHead &Answer);
+                    const HttpResponseHead &Answer, bool EndsRequests = false);
   void logFleet(TimePoint Now);
   void probe(const EndpointName &Id);
   boost::asio::awaitable<void> probeEngine(EndpointName Id,
                                            std::string Address);
+  boost::asio::awaitable<void> askEngine(EndpointName Id, std::string Address);
+  /// Returns whether \p Order ends the requests in progress at its recipient.
+  [[nodiscard]] bool endsRequests(const EngineOrder &Order) const;
   /// Logs a limit of bytes that ended a call to an endpoint.
   void recordLimit(const EndpointName &Id, HttpCallLimit Limit);
   boost::asio::awaitable<void> sendOrder(EngineOrder Order);
@@ -109,6 +121,9 @@
   std::map<EndpointName, NamedLimit> Limits;
   /// Pauses that engines asked this host for.
   EndpointHoldOffs HoldOffs;
+  std::function<void(const EngineAnswer &)> AnswerHandler;
+  /// Engines with a call of askWhetherRunning() on its way.
+  std::set<EndpointName> AskedEngines;
   EngineFailureDetector FailureDetector;
   FormationPlanner Planner;
   bool Leading = false;
--- a/Libraries/LibControl/PromptRefusals.cpp
+++ b/Libraries/LibControl/PromptRefusals.cpp
@@ -2,6 +2,7 @@
 
 #include <LibControl/PromptRefusals.h>
 
+#include <LibTelemetry/Log.h>
 #include <algorithm>
 #include <iterator>
 
@@ -23,6 +24,23 @@
       PromptParts(Refusal.parts().begin(), Refusal.parts().end()));
 }
 
+void PromptRefusals::recordDisproved(const EndpointName &Engine,
+                                     std::string_view Reason) {
+  ++this->Disproved;
+  logEvent(Severity::Info, "crash-disproved",
+           {{"endpoint", Engine}, {"reason", Reason}});
+}
+
+void PromptRefusals::recordProgress(const EndpointName &Engine, TimePoint At) {
+  if (this->Attribution.recordProgress(Engine, At))
+    this->recordDisproved(Engine, "goes-on");
+}
+
+void PromptRefusals::recordEngineAnswer(const EngineAnswer &Answer) {
+  if (this->EndEvidence.recordAnswer(Answer))
+    this->recordProgress(Answer.Engine, Answer.SentAt);
+}
+
 void PromptRefusals::recordPulse(TimePoint Now,
                                  const message::PulseCall &Call) {
   if (Call.crashes_size() + Call.answers_size() > 0)
@@ -35,6 +53,10 @@
           {.Parts = {Prompt.parts().begin(), Prompt.parts().end()},
            .BeganAt =
                Report.At - std::chrono::milliseconds(Prompt.running_ms())});
+    if (!this->EndEvidence.recordReport(Now, Report)) {
+      this->recordDisproved(Report.Engine, "ended-by-order");
+      continue;
+    }
     this->Trials.recordCrash(Now, Report.Prompts);
     this->Attribution.recordCrash(Report);
   }
--- a/Libraries/LibControl/PromptRefusals.h
+++ b/Libraries/LibControl/PromptRefusals.h
@@ -13,8 +13,10 @@
 #include <LibCatalog/Register.pb.h>
 #include <LibControl/Control.pb.h>
 #include <LibRouting/CrashAttribution.h>
+#include <LibRouting/EngineEndEvidence.h>
 #include <LibRouting/RefusalTrials.h>
 #include <optional>
+#include <string_view>
 
 namespace carobhinge {
 
@@ -25,10 +27,12 @@
 public:
   /// Records the evidence in a pulse of an entry host.
   void recordPulse(TimePoint Now, const message::PulseCall &Call);
+  /// An engine answered this control host.
+  void recordEngineAnswer(const EngineAnswer &Answer);
+  /// What is known of the engines that are reported as crashed.
+  [[nodiscard]] EngineEndEvidence &endEvidence() { return this->EndEvidence; }
   /// The engine sent an event at \p At.
-  void recordProgress(const EndpointName &Engine, TimePoint At) {
-    this->Attribution.recordProgress(Engine, At);
-  }
+  void recordProgress(const EndpointName &Engine, TimePoint At);
   /// Adopts the refusals of the replicated state.
   void setState(TimePoint Now, const message::RegisterState &State);
 
@@ -45,11 +49,17 @@
   }
   /// Adds a permit to try a refused prompt, if one is due.
   void fillTrial(TimePoint Now, message::PulseResult &Result);
+  /// Reports on crashes that did not count, or count no longer.
+  [[nodiscard]] std::uint64_t disproved() const { return this->Disproved; }
 
 private:
   [[nodiscard]] bool isQuiet(TimePoint Now) const;
   void recordEvidence(TimePoint Now);
 
+  void recordDisproved(const EndpointName &Engine, std::string_view Reason);
+
+  EngineEndEvidence EndEvidence;
+  std::uint64_t Disproved = 0;
   CrashAttribution Attribution;
   RefusalTrials Trials;
   SuspectParts Suspects;
--- a/Libraries/LibRouting/CrashAttribution.cpp
+++ b/Libraries/LibRouting/CrashAttribution.cpp
@@ -70,11 +70,17 @@
                       static_cast<std::ptrdiff_t>(LargestStart));
 }
 
-void CrashAttribution::recordProgress(const EndpointName &Engine,
+bool CrashAttribution::recordProgress(const EndpointName &Engine,
                                       TimePoint At) {
-  for (Crash &Each : this->Crashes)
-    if (Each.Engine == Engine && At < Each.At + this->Options.SameCrashTime)
-      Each.LastProgressAt = std::max(Each.LastProgressAt, At);
+  bool IsDisproved = false;
+  for (Crash &Each : this->Crashes) {
+    if (Each.Engine != Engine || At >= Each.At + this->Options.SameCrashTime)
+      continue;
+    bool HadGoneOn = this->hasGoneOn(Each);
+    Each.LastProgressAt = std::max(Each.LastProgressAt, At);
+    IsDisproved = IsDisproved || (!HadGoneOn && this->hasGoneOn(Each));
+  }
+  return IsDisproved;
 }
 
 void CrashAttribution::recordAnswer(TimePoint At, PromptPart Part) {
--- a/Libraries/LibRouting/CrashAttribution.h
+++ b/Libraries/LibRouting/CrashAttribution.h
@@ -126,7 +126,8 @@
   void recordCrash(const CrashReport &Report);
   /// The engine sent an event or an answer at \p At. If that was after the last
   /// connection was lost in a reported crash, the engine has not crashed.
-  void recordProgress(const EndpointName &Engine, TimePoint At);
+  /// \returns whether a crash counts no longer.
+  bool recordProgress(const EndpointName &Engine, TimePoint At);
   /// An engine answered a prompt with \p Part in full at \p At. Only suspects()
   /// matter; other parts are ignored.
   void recordAnswer(TimePoint At, PromptPart Part);
--- /dev/null
+++ b/Libraries/LibRouting/EngineEndEvidence.h
@@ -0,0 +1,76 @@
+//===- LibRouting/EngineEndEvidence.h - What speaks against a crash -------===//
+///
+/// \file
+/// Tells crashes of engines from other ends of their connections. An engine
+/// that is ordered to join another group or to leave its group ends the
+/// requests in progress on it and goes on, and one that answers a call which
+/// was sent after all reports of its crash has not crashed. The leading control
+/// host sends these calls, and asks engines that are reported.
+///
+//===----------------------------------------------------------------------===//
+
+#ifndef LIBROUTING_ENGINEENDEVIDENCE_H
+#define LIBROUTING_ENGINEENDEVIDENCE_H
+
+#include <LibCore/Silence.h>
+#include <LibRouting/CrashReport.h>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace carobhinge {
+
+struct EngineEndOptions {
+  /// Times that different hosts report may be this far apart.
+  Duration TimeTolerance = std::chrono::milliseconds(10);
+  /// By then every host has noticed that an order ended its requests.
+  Duration NoticeTime = EndingSilence;
+  /// Reports arrive within this time after the loss.
+  Duration Memory = std::chrono::seconds(10);
+};
+
+/// An answer of an engine to a control host.
+struct EngineAnswer {
+  EndpointName Engine = {};
+  TimePoint SentAt = {};
+  TimePoint AnsweredAt = {};
+  /// The call was an order that ended the requests in progress.
+  bool EndsRequests = false;
+};
+
+class EngineEndEvidence {
+public:
+  explicit EngineEndEvidence(EngineEndOptions Options = {})
+      : Options(Options) {}
+
+  /// \returns whether the engine goes on after all crashes of it that were
+  /// reported: the call was sent after the reports, and these after the losses.
+  bool recordAnswer(const EngineAnswer &Answer);
+  /// Removes the prompts of \p Report that an order ended. \returns whether
+  /// others are left; then the engine is to be asked.
+  bool recordReport(TimePoint Now, CrashReport &Report);
+  /// \returns the engines that were reported and have not been asked since.
+  [[nodiscard]] const std::set<EndpointName> &enginesToAsk() const {
+    return this->Questions;
+  }
+  void recordAsked(const EndpointName &Engine) {
+    this->Questions.erase(Engine);
+  }
+
+private:
+  [[nodiscard]] bool isEndedByOrder(const EndpointName &Engine,
+                                    TimePoint BeganAt, TimePoint LostAt) const;
+  void removeExpired(TimePoint Now);
+
+  EngineEndOptions Options;
+  /// The orders that ended requests, by engine.
+  std::map<EndpointName, std::vector<EngineAnswer>> Orders;
+  /// When a crash of each engine was last reported.
+  std::map<EndpointName, TimePoint> ReportedAt;
+  std::set<EndpointName> Questions;
+  TimePoint NextCleanupAt;
+};
+
+} // namespace carobhinge
+
+#endif // LIBROUTING_ENGINEENDEVIDENCE_H
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -40,6 +40,7 @@
       {"limit-reached", {"limit", "peer", "count"}},
       {"endpoint-leaving", {"request", "endpoint"}},
       {"engine-crashed", {"endpoint", "prompts"}},
+      {"crash-disproved", {"endpoint", "reason"}},
       {"prompt-refused", {"prompt_parts", "engines"}},
       {"prompt-lifted", {"prompt_parts"}},
       {"prompt-tried", {"request", "prompt_parts"}},
--- a/Tests/LibControl/TestPromptRefusals.cpp
+++ b/Tests/LibControl/TestPromptRefusals.cpp
@@ -45,6 +45,41 @@
   EXPECT_EQ(Command->refuse_prompt().engines_size(), 4);
 }
 
+/// Four engines that were ordered to leave their groups closed their
+/// connections, and the prompts that they had in common were refused.
+TEST(PromptRefusals, EnginesThatWereOrderedToLeaveAreNoEvidence) {
+  PromptRefusals Refusals;
+  for (int I = 0; I < 6; ++I) {
+    TimePoint Now = Start + I * seconds(1);
+    std::string Engine = "engine-" + std::to_string(I);
+    Refusals.recordEngineAnswer(
+        {.Engine = Engine,
+         .SentAt = Now - std::chrono::milliseconds(105),
+         .AnsweredAt = Now - std::chrono::milliseconds(99),
+         .EndsRequests = true});
+    Refusals.recordPulse(Now, crashReport(Engine, static_cast<PromptPart>(I)));
+  }
+  EXPECT_FALSE(Refusals.nextCommand(Start + seconds(7)));
+  EXPECT_FALSE(Refusals.updateSuspects(Start + seconds(7)));
+  EXPECT_EQ(Refusals.disproved(), 6U);
+}
+
+TEST(PromptRefusals, EnginesThatAnswerAfterTheReportAreNoEvidence) {
+  PromptRefusals Refusals;
+  for (int I = 0; I < 6; ++I) {
+    TimePoint Now = Start + I * seconds(1);
+    std::string Engine = "engine-" + std::to_string(I);
+    Refusals.recordPulse(Now, crashReport(Engine, static_cast<PromptPart>(I)));
+    ASSERT_TRUE(Refusals.endEvidence().enginesToAsk().contains(Engine));
+    Refusals.recordEngineAnswer(
+        {.Engine = Engine,
+         .SentAt = Now + std::chrono::milliseconds(50),
+         .AnsweredAt = Now + std::chrono::milliseconds(55)});
+  }
+  EXPECT_FALSE(Refusals.nextCommand(Start + seconds(7)));
+  EXPECT_EQ(Refusals.disproved(), 6U);
+}
+
 TEST(PromptRefusals, AnAnswerOfARefusedPromptLiftsIt) {
   PromptRefusals Refusals;
   message::RegisterState State;
--- /dev/null
+++ b/Tests/LibRouting/TestEngineEndEvidence.cpp
@@ -0,0 +1,131 @@
+//===- Tests/LibRouting/TestEngineEndEvidence.cpp - Crash or not ----------===//
+///
+/// \file
+/// Guards against prompts that are judged by crashes that were none, and
+/// against crashes that are excused by an order or an answer from before them.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibRouting/EngineEndEvidence.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace carobhinge;
+
+static constexpr TimePoint Start{std::chrono::hours(1)};
+
+static TimePoint at(int Ms) { return Start + std::chrono::milliseconds(Ms); }
+
+static CrashReport report(int LostMs, int BeganMs) {
+  return {.Engine = "engine",
+          .At = at(LostMs),
+          .Prompts = {{.Parts = {1}, .BeganAt = at(BeganMs)}}};
+}
+
+static EngineAnswer order(int SentMs, int AnsweredMs) {
+  return {.Engine = "engine",
+          .SentAt = at(SentMs),
+          .AnsweredAt = at(AnsweredMs),
+          .EndsRequests = true};
+}
+
+static EngineAnswer answer(int SentMs) {
+  return {
+      .Engine = "engine", .SentAt = at(SentMs), .AnsweredAt = at(SentMs + 5)};
+}
+
+/// An engine that was ordered to leave its group closed its connections, and
+/// that counted as a crash.
+TEST(EngineEndEvidence, RequestsThatAnOrderEndedAreNoCrash) {
+  EngineEndEvidence Evidence;
+  Evidence.recordAnswer(order(1000, 1005));
+  CrashReport Report = report(1003, 200);
+  EXPECT_FALSE(Evidence.recordReport(at(1110), Report));
+  EXPECT_TRUE(Evidence.enginesToAsk().empty());
+  // A host that was suspended notices it late.
+  Report = report(2400, 200);
+  EXPECT_FALSE(Evidence.recordReport(at(2510), Report));
+}
+
+TEST(EngineEndEvidence, AnOrderExcusesNoOtherLoss) {
+  struct Case {
+    const char *What;
+    int LostMs;
+    int BeganMs;
+  };
+  for (const Case &Each : {Case{"lost before the order", 900, 200},
+                           Case{"began after the order", 1300, 1100},
+                           Case{"lost long after the order", 4000, 200}}) {
+    EngineEndEvidence Evidence;
+    Evidence.recordAnswer(order(1000, 1005));
+    CrashReport Report = report(Each.LostMs, Each.BeganMs);
+    EXPECT_TRUE(Evidence.recordReport(at(Each.LostMs + 110), Report))
+        << Each.What;
+    EXPECT_EQ(Report.Prompts.size(), 1U) << Each.What;
+  }
+}
+
+TEST(EngineEndEvidence, OrderLeavesLaterPromptsOfTheReport) {
+  EngineEndEvidence Evidence;
+  Evidence.recordAnswer(order(1000, 1005));
+  CrashReport Report = report(1500, 200);
+  Report.Prompts.push_back({.Parts = {2}, .BeganAt = at(1300)});
+  EXPECT_TRUE(Evidence.recordReport(at(1610), Report));
+  ASSERT_EQ(Report.Prompts.size(), 1U);
+  EXPECT_EQ(Report.Prompts.front().Parts, PromptParts{2});
+}
+
+TEST(EngineEndEvidence, EngineThatAnswersAfterTheReportGoesOn) {
+  EngineEndEvidence Evidence;
+  CrashReport Report = report(1000, 200);
+  EXPECT_TRUE(Evidence.recordReport(at(1110), Report));
+  EXPECT_TRUE(Evidence.enginesToAsk().contains("engine"));
+  Evidence.recordAsked("engine");
+  EXPECT_TRUE(Evidence.enginesToAsk().empty());
+  EXPECT_TRUE(Evidence.recordAnswer(answer(1150)));
+}
+
+/// A host loses one connection by chance, and the others some time later in a
+/// crash; it reports the time of the first one.
+TEST(EngineEndEvidence, AnswerToACallFromBeforeTheReportShowsNothing) {
+  EngineEndEvidence Evidence;
+  EXPECT_FALSE(Evidence.recordAnswer(answer(1080)));
+  CrashReport Report = report(1000, 200);
+  EXPECT_TRUE(Evidence.recordReport(at(1110), Report));
+  EXPECT_FALSE(Evidence.recordAnswer(answer(1090)));
+  // Another host reports while the question is on its way.
+  Evidence.recordAsked("engine");
+  Report = report(1140, 200);
+  EXPECT_TRUE(Evidence.recordReport(at(1250), Report));
+  EXPECT_FALSE(Evidence.recordAnswer(answer(1200)));
+  EXPECT_TRUE(Evidence.enginesToAsk().contains("engine"));
+}
+
+/// Draws one engine that is ordered to leave now and then, answers all calls
+/// while it runs, and crashes once.
+RC_GTEST_PROP(EngineEndEvidenceProperties, CrashCountsAndOrderedEndsDoNot, ()) {
+  EngineEndEvidence Evidence;
+  const int CrashMs = *rc::gen::inRange(0, 8000);
+  const auto OrderTimes =
+      *rc::gen::container<std::set<int>>(rc::gen::inRange(0, 8000));
+  int LastOrderMs = -1;
+  for (int SentMs : OrderTimes) {
+    const int TakesMs = *rc::gen::inRange(1, 40);
+    if (SentMs + TakesMs >= CrashMs)
+      break;
+    if (SentMs < LastOrderMs)
+      continue;
+    Evidence.recordAnswer(order(SentMs, SentMs + TakesMs));
+    LastOrderMs = SentMs + TakesMs;
+    const int LostMs = SentMs + *rc::gen::inRange(0, TakesMs + 100);
+    const int BeganMs = SentMs - *rc::gen::inRange(1, 2000);
+    CrashReport Ended = report(LostMs, BeganMs);
+    RC_ASSERT(!Evidence.recordReport(Ended.At + std::chrono::milliseconds(110),
+                                     Ended));
+  }
+  // What ran at the crash began after the last order.
+  CrashReport Crash = report(
+      CrashMs, LastOrderMs + *rc::gen::inRange(1, CrashMs - LastOrderMs + 1));
+  RC_ASSERT(Evidence.recordReport(at(CrashMs + 110), Crash));
+  RC_ASSERT(!Evidence.recordAnswer(answer(CrashMs - 1)));
+}
