LibControl: Don't judge prompts by engines that had ended before them

Entry hosts send prompts to an engine for up to a second after its crash, and have them reset there.

The leader asks a reported engine whether it goes on; a refused connection says that it had ended by then. Prompts that began after that call, and were lost before the engine can have started again, are left out of the reports (crash-disproved, reason `sent-after-end`).

EngineEndEvidence.PromptsSentToAnEngineThatHasEndedAreNoCause fails without the check.

--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -137,6 +137,10 @@
   this->Coordinator.setAnswerHandler([this](const EngineAnswer &Answer) {
     this->Refusals.recordEngineAnswer(Answer);
   });
+  this->Coordinator.setRefusalHandler(
+      [this](const EndpointName &Engine, TimePoint SentAt) {
+        this->Refusals.endEvidence().recordRefused(Engine, SentAt);
+      });
   for (const HostName &Host : seedHosts(this->Settings))
     this->Hosts.addHost(this->StartedAt, Host);
 }
--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -201,6 +201,8 @@
   }
   this->AskedEngines.erase(Id);
   this->recordLimit(Id, Answer.Limit);
+  if (Answer.ConnectionRefused && this->RefusalHandler)
+    this->RefusalHandler(Id, SentAt);
   if (Answer.Outcome == HttpCallOutcome::Complete)
     this->recordAnswer(SentAt, Id, Answer.Head);
 }
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -40,6 +40,12 @@
   void setAnswerHandler(std::function<void(const EngineAnswer &)> Handler) {
     this->AnswerHandler = std::move(Handler);
   }
+  /// \p Handler gets the engines that refused a connection of
+  /// askWhetherRunning(), and when it was begun.
+  void setRefusalHandler(
+      std::function<void(const EndpointName &, TimePoint)> Handler) {
+    this->RefusalHandler = std::move(Handler);
+  }
   /// Sends \p Id a call of which only the answer counts, as evidence that the
   /// engine goes on. \returns false while another such call is on its way.
   bool askWhetherRunning(const EndpointName &Id);
@@ -122,6 +128,7 @@
   /// Pauses that engines asked this host for.
   EndpointHoldOffs HoldOffs;
   std::function<void(const EngineAnswer &)> AnswerHandler;
+  std::function<void(const EndpointName &, TimePoint)> RefusalHandler;
   /// Engines with a call of askWhetherRunning() on its way.
   std::set<EndpointName> AskedEngines;
   EngineFailureDetector FailureDetector;
--- a/Libraries/LibControl/PromptRefusals.cpp
+++ b/Libraries/LibControl/PromptRefusals.cpp
@@ -16,6 +16,8 @@
 static constexpr auto QuietInterval = std::chrono::seconds(2);
 /// By then new evidence has had all its effects.
 static constexpr auto EvidenceEffectTime = std::chrono::seconds(4);
+/// Reports on one engine within this time are about the same loss.
+static constexpr auto SameCrashTime = std::chrono::milliseconds(1500);
 /// Engines that are named with a refusal.
 static constexpr std::size_t MaxNamedEngines = 8;
 
@@ -24,8 +26,13 @@
       PromptParts(Refusal.parts().begin(), Refusal.parts().end()));
 }
 
-void PromptRefusals::recordDisproved(const EndpointName &Engine,
+void PromptRefusals::recordDisproved(const EndpointName &Engine, TimePoint At,
                                      std::string_view Reason) {
+  std::erase_if(this->DisprovedAt, [At](const auto &Entry) {
+    return std::chrono::abs(At - Entry.second) > SameCrashTime;
+  });
+  if (!this->DisprovedAt.try_emplace(Engine, At).second)
+    return;
   ++this->Disproved;
   logEvent(Severity::Info, "crash-disproved",
            {{"endpoint", Engine}, {"reason", Reason}});
@@ -33,7 +40,7 @@
 
 void PromptRefusals::recordProgress(const EndpointName &Engine, TimePoint At) {
   if (this->Attribution.recordProgress(Engine, At))
-    this->recordDisproved(Engine, "goes-on");
+    this->recordDisproved(Engine, At, "goes-on");
 }
 
 void PromptRefusals::recordEngineAnswer(const EngineAnswer &Answer) {
@@ -53,8 +60,12 @@
           {.Parts = {Prompt.parts().begin(), Prompt.parts().end()},
            .BeganAt =
                Report.At - std::chrono::milliseconds(Prompt.running_ms())});
-    if (!this->EndEvidence.recordReport(Now, Report)) {
-      this->recordDisproved(Report.Engine, "ended-by-order");
+    ReportVerdict Verdict = this->EndEvidence.recordReport(Now, Report);
+    if (Verdict != ReportVerdict::Counts) {
+      this->recordDisproved(Report.Engine, Report.At,
+                            Verdict == ReportVerdict::EndedByOrder
+                                ? "ended-by-order"
+                                : "sent-after-end");
       continue;
     }
     this->Trials.recordCrash(Now, Report.Prompts);
--- a/Libraries/LibControl/PromptRefusals.h
+++ b/Libraries/LibControl/PromptRefusals.h
@@ -15,6 +15,7 @@
 #include <LibRouting/CrashAttribution.h>
 #include <LibRouting/EngineEndEvidence.h>
 #include <LibRouting/RefusalTrials.h>
+#include <map>
 #include <optional>
 #include <string_view>
 
@@ -49,17 +50,22 @@
   }
   /// Adds a permit to try a refused prompt, if one is due.
   void fillTrial(TimePoint Now, message::PulseResult &Result);
-  /// Reports on crashes that did not count, or count no longer.
+  /// Losses that did not count as crashes, or count no longer.
   [[nodiscard]] std::uint64_t disproved() const { return this->Disproved; }
 
 private:
   [[nodiscard]] bool isQuiet(TimePoint Now) const;
   void recordEvidence(TimePoint Now);
 
-  void recordDisproved(const EndpointName &Engine, std::string_view Reason);
+  /// Logs that the loss of \p Engine at \p At is no crash. Once: several hosts
+  /// report it, each until a majority has confirmed the leader.
+  void recordDisproved(const EndpointName &Engine, TimePoint At,
+                       std::string_view Reason);
 
   EngineEndEvidence EndEvidence;
   std::uint64_t Disproved = 0;
+  /// The last ones, by engine.
+  std::map<EndpointName, TimePoint> DisprovedAt;
   CrashAttribution Attribution;
   RefusalTrials Trials;
   SuspectParts Suspects;
--- a/Libraries/LibRouting/EngineEndEvidence.cpp
+++ b/Libraries/LibRouting/EngineEndEvidence.cpp
@@ -10,20 +10,48 @@
   this->removeExpired(Answer.AnsweredAt);
   if (Answer.EndsRequests)
     this->Orders[Answer.Engine].push_back(Answer);
-  auto Reported = this->ReportedAt.find(Answer.Engine);
-  return Reported != this->ReportedAt.end() && Answer.SentAt > Reported->second;
+  auto Found = this->Reports.find(Answer.Engine);
+  return Found != this->Reports.end() && Answer.SentAt > Found->second.At;
 }
 
-bool EngineEndEvidence::recordReport(TimePoint Now, CrashReport &Report) {
+void EngineEndEvidence::recordRefused(const EndpointName &Engine,
+                                      TimePoint SentAt) {
+  auto Found = this->Reports.find(Engine);
+  if (Found != this->Reports.end() && SentAt > Found->second.LostAt)
+    Found->second.RefusedAt = std::min(Found->second.RefusedAt, SentAt);
+}
+
+ReportVerdict EngineEndEvidence::recordReport(TimePoint Now,
+                                              CrashReport &Report) {
   this->removeExpired(Now);
+  std::erase_if(Report.Prompts, [&](const SuspectPrompt &Prompt) {
+    return this->isSentAfterEnd(Report.Engine, Prompt.BeganAt, Report.At);
+  });
+  if (Report.Prompts.empty())
+    return ReportVerdict::SentAfterEnd;
   std::erase_if(Report.Prompts, [&](const SuspectPrompt &Prompt) {
     return this->isEndedByOrder(Report.Engine, Prompt.BeganAt, Report.At);
   });
   if (Report.Prompts.empty())
-    return false;
-  this->ReportedAt[Report.Engine] = Now;
+    return ReportVerdict::EndedByOrder;
+  Reported &Known =
+      this->Reports
+          .try_emplace(Report.Engine, Reported{.At = Now, .LostAt = Report.At})
+          .first->second;
+  if (Report.At >= Known.LostAt + this->Options.RestartTime)
+    Known = {.At = Now, .LostAt = Report.At};
+  Known.At = Now;
+  Known.LostAt = std::min(Known.LostAt, Report.At);
   this->Questions.insert(Report.Engine);
-  return true;
+  return ReportVerdict::Counts;
+}
+
+bool EngineEndEvidence::isSentAfterEnd(const EndpointName &Engine,
+                                       TimePoint BeganAt,
+                                       TimePoint LostAt) const {
+  auto Found = this->Reports.find(Engine);
+  return Found != this->Reports.end() && BeganAt > Found->second.RefusedAt &&
+         LostAt < Found->second.LostAt + this->Options.RestartTime;
 }
 
 bool EngineEndEvidence::isEndedByOrder(const EndpointName &Engine,
@@ -49,10 +77,10 @@
     });
   std::erase_if(this->Orders,
                 [](const auto &Entry) { return Entry.second.empty(); });
-  std::erase_if(this->ReportedAt,
-                [&](const auto &Entry) { return Entry.second < Oldest; });
+  std::erase_if(this->Reports,
+                [&](const auto &Entry) { return Entry.second.At < Oldest; });
   std::erase_if(this->Questions, [&](const EndpointName &Engine) {
-    return !this->ReportedAt.contains(Engine);
+    return !this->Reports.contains(Engine);
   });
 }
 
--- a/Libraries/LibRouting/EngineEndEvidence.h
+++ b/Libraries/LibRouting/EngineEndEvidence.h
@@ -4,8 +4,10 @@
 /// Tells crashes of engines from other ends of their connections. An engine
 /// that is ordered to join another group or to leave its group ends the
 /// requests in progress on it and goes on, and one that answers a call which
-/// was sent after all reports of its crash has not crashed. The leading control
-/// host sends these calls, and asks engines that are reported.
+/// was sent after all reports of its crash has not crashed. One that refuses a
+/// connection had ended before, so that no prompt which began later is the
+/// cause. The leading control host sends these calls, and asks engines that are
+/// reported.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -25,6 +27,8 @@
   Duration TimeTolerance = std::chrono::milliseconds(10);
   /// By then every host has noticed that an order ended its requests.
   Duration NoticeTime = EndingSilence;
+  /// Shorter than an engine takes to start again.
+  Duration RestartTime = std::chrono::milliseconds(1500);
   /// Reports arrive within this time after the loss.
   Duration Memory = std::chrono::seconds(10);
 };
@@ -38,6 +42,15 @@
   bool EndsRequests = false;
 };
 
+/// Whether a report counts as evidence on its prompts, and if not, why.
+enum class ReportVerdict {
+  Counts,
+  /// An order to the engine ended them.
+  EndedByOrder,
+  /// They were sent to an engine that had ended.
+  SentAfterEnd,
+};
+
 class EngineEndEvidence {
 public:
   explicit EngineEndEvidence(EngineEndOptions Options = {})
@@ -46,9 +59,11 @@
   /// \returns whether the engine goes on after all crashes of it that were
   /// reported: the call was sent after the reports, and these after the losses.
   bool recordAnswer(const EngineAnswer &Answer);
-  /// Removes the prompts of \p Report that an order ended. \returns whether
-  /// others are left; then the engine is to be asked.
-  bool recordReport(TimePoint Now, CrashReport &Report);
+  /// A connection of this host to \p Engine, begun at \p SentAt, was refused.
+  void recordRefused(const EndpointName &Engine, TimePoint SentAt);
+  /// Removes the prompts of \p Report that no crash ended. If others are left,
+  /// the report counts, and the engine is to be asked.
+  ReportVerdict recordReport(TimePoint Now, CrashReport &Report);
   /// \returns the engines that were reported and have not been asked since.
   [[nodiscard]] const std::set<EndpointName> &enginesToAsk() const {
     return this->Questions;
@@ -60,13 +75,22 @@
 private:
   [[nodiscard]] bool isEndedByOrder(const EndpointName &Engine,
                                     TimePoint BeganAt, TimePoint LostAt) const;
+  [[nodiscard]] bool isSentAfterEnd(const EndpointName &Engine,
+                                    TimePoint BeganAt, TimePoint LostAt) const;
   void removeExpired(TimePoint Now);
 
   EngineEndOptions Options;
   /// The orders that ended requests, by engine.
   std::map<EndpointName, std::vector<EngineAnswer>> Orders;
-  /// When a crash of each engine was last reported.
-  std::map<EndpointName, TimePoint> ReportedAt;
+  struct Reported {
+    /// When a report on the engine last came.
+    TimePoint At;
+    /// The first loss of its last crash.
+    TimePoint LostAt;
+    /// From when on it refused connections after that loss.
+    TimePoint RefusedAt = TimePoint::max();
+  };
+  std::map<EndpointName, Reported> Reports;
   std::set<EndpointName> Questions;
   TimePoint NextCleanupAt;
 };
--- a/Tests/LibControl/TestPromptRefusals.cpp
+++ b/Tests/LibControl/TestPromptRefusals.cpp
@@ -57,7 +57,9 @@
          .SentAt = Now - std::chrono::milliseconds(105),
          .AnsweredAt = Now - std::chrono::milliseconds(99),
          .EndsRequests = true});
-    Refusals.recordPulse(Now, crashReport(Engine, static_cast<PromptPart>(I)));
+    message::PulseCall Call = crashReport(Engine, static_cast<PromptPart>(I));
+    Refusals.recordPulse(Now, Call);
+    Refusals.recordPulse(Now, Call);
   }
   EXPECT_FALSE(Refusals.nextCommand(Start + seconds(7)));
   EXPECT_FALSE(Refusals.updateSuspects(Start + seconds(7)));
--- a/Tests/LibRouting/TestEngineEndEvidence.cpp
+++ b/Tests/LibRouting/TestEngineEndEvidence.cpp
@@ -40,11 +40,13 @@
   EngineEndEvidence Evidence;
   Evidence.recordAnswer(order(1000, 1005));
   CrashReport Report = report(1003, 200);
-  EXPECT_FALSE(Evidence.recordReport(at(1110), Report));
+  EXPECT_EQ(Evidence.recordReport(at(1110), Report),
+            ReportVerdict::EndedByOrder);
   EXPECT_TRUE(Evidence.enginesToAsk().empty());
   // A host that was suspended notices it late.
   Report = report(2400, 200);
-  EXPECT_FALSE(Evidence.recordReport(at(2510), Report));
+  EXPECT_EQ(Evidence.recordReport(at(2510), Report),
+            ReportVerdict::EndedByOrder);
 }
 
 TEST(EngineEndEvidence, AnOrderExcusesNoOtherLoss) {
@@ -59,7 +61,8 @@
     EngineEndEvidence Evidence;
     Evidence.recordAnswer(order(1000, 1005));
     CrashReport Report = report(Each.LostMs, Each.BeganMs);
-    EXPECT_TRUE(Evidence.recordReport(at(Each.LostMs + 110), Report))
+    EXPECT_EQ(Evidence.recordReport(at(Each.LostMs + 110), Report),
+              ReportVerdict::Counts)
         << Each.What;
     EXPECT_EQ(Report.Prompts.size(), 1U) << Each.What;
   }
@@ -70,7 +73,7 @@
   Evidence.recordAnswer(order(1000, 1005));
   CrashReport Report = report(1500, 200);
   Report.Prompts.push_back({.Parts = {2}, .BeganAt = at(1300)});
-  EXPECT_TRUE(Evidence.recordReport(at(1610), Report));
+  EXPECT_EQ(Evidence.recordReport(at(1610), Report), ReportVerdict::Counts);
   ASSERT_EQ(Report.Prompts.size(), 1U);
   EXPECT_EQ(Report.Prompts.front().Parts, PromptParts{2});
 }
@@ -78,7 +81,7 @@
 TEST(EngineEndEvidence, EngineThatAnswersAfterTheReportGoesOn) {
   EngineEndEvidence Evidence;
   CrashReport Report = report(1000, 200);
-  EXPECT_TRUE(Evidence.recordReport(at(1110), Report));
+  EXPECT_EQ(Evidence.recordReport(at(1110), Report), ReportVerdict::Counts);
   EXPECT_TRUE(Evidence.enginesToAsk().contains("engine"));
   Evidence.recordAsked("engine");
   EXPECT_TRUE(Evidence.enginesToAsk().empty());
@@ -91,16 +94,49 @@
   EngineEndEvidence Evidence;
   EXPECT_FALSE(Evidence.recordAnswer(answer(1080)));
   CrashReport Report = report(1000, 200);
-  EXPECT_TRUE(Evidence.recordReport(at(1110), Report));
+  EXPECT_EQ(Evidence.recordReport(at(1110), Report), ReportVerdict::Counts);
   EXPECT_FALSE(Evidence.recordAnswer(answer(1090)));
   // Another host reports while the question is on its way.
   Evidence.recordAsked("engine");
   Report = report(1140, 200);
-  EXPECT_TRUE(Evidence.recordReport(at(1250), Report));
+  EXPECT_EQ(Evidence.recordReport(at(1250), Report), ReportVerdict::Counts);
   EXPECT_FALSE(Evidence.recordAnswer(answer(1200)));
   EXPECT_TRUE(Evidence.enginesToAsk().contains("engine"));
 }
 
+/// Prompts that were sent to an engine half a second after its crash, and reset
+/// there, counted as in progress at the crash.
+TEST(EngineEndEvidence, PromptsSentToAnEngineThatHasEndedAreNoCause) {
+  EngineEndEvidence Evidence;
+  CrashReport Report = report(1000, 200);
+  EXPECT_EQ(Evidence.recordReport(at(1110), Report), ReportVerdict::Counts);
+  Evidence.recordRefused("engine", at(1150));
+  Report = report(1400, 1390);
+  EXPECT_EQ(Evidence.recordReport(at(1510), Report),
+            ReportVerdict::SentAfterEnd);
+  // One that was sent before, and whose host notices the crash late.
+  Report = report(1400, 900);
+  EXPECT_EQ(Evidence.recordReport(at(1510), Report), ReportVerdict::Counts);
+  // By then the engine may have started again.
+  Report = report(2600, 2500);
+  EXPECT_EQ(Evidence.recordReport(at(2710), Report), ReportVerdict::Counts);
+}
+
+TEST(EngineEndEvidence, RefusalHoldsForOneCrash) {
+  EngineEndEvidence Evidence;
+  Evidence.recordRefused("engine", at(500));
+  CrashReport Report = report(1000, 200);
+  EXPECT_EQ(Evidence.recordReport(at(1110), Report), ReportVerdict::Counts);
+  Evidence.recordRefused("engine", at(900));
+  Report = report(1200, 1100);
+  EXPECT_EQ(Evidence.recordReport(at(1310), Report), ReportVerdict::Counts);
+  Evidence.recordRefused("engine", at(1350));
+  Report = report(4000, 3000);
+  EXPECT_EQ(Evidence.recordReport(at(4110), Report), ReportVerdict::Counts);
+  Report = report(4200, 4100);
+  EXPECT_EQ(Evidence.recordReport(at(4310), Report), ReportVerdict::Counts);
+}
+
 /// Draws one engine that is ordered to leave now and then, answers all calls
 /// while it runs, and crashes once.
 RC_GTEST_PROP(EngineEndEvidenceProperties, CrashCountsAndOrderedEndsDoNot, ()) {
@@ -120,12 +156,13 @@
     const int LostMs = SentMs + *rc::gen::inRange(0, TakesMs + 100);
     const int BeganMs = SentMs - *rc::gen::inRange(1, 2000);
     CrashReport Ended = report(LostMs, BeganMs);
-    RC_ASSERT(!Evidence.recordReport(Ended.At + std::chrono::milliseconds(110),
-                                     Ended));
+    RC_ASSERT(Evidence.recordReport(Ended.At + std::chrono::milliseconds(110),
+                                    Ended) == ReportVerdict::EndedByOrder);
   }
   // What ran at the crash began after the last order.
   CrashReport Crash = report(
       CrashMs, LastOrderMs + *rc::gen::inRange(1, CrashMs - LastOrderMs + 1));
-  RC_ASSERT(Evidence.recordReport(at(CrashMs + 110), Crash));
+  RC_ASSERT(Evidence.recordReport(at(CrashMs + 110), Crash) ==
+            ReportVerdict::Counts);
   RC_ASSERT(!Evidence.recordAnswer(answer(CrashMs - 1)));
 }
