LibControl: Say why an engine is called lost, and count false alarms

A line engine-lost told only when the engine's last report had come, so that a killed process, a cut link and a halted leader looked the same, and nothing told a false alarm from a recovery.

engine-lost now has the reason (refused or silent), for how long the engine was silent since the first question without an answer, and by what it was last heard (report, answer, progress) and when; heard_ms_ago counts from there. engine-found says whether it is the same life, which makes the loss a false alarm. carobhinge_engines_lost_total counts losses by reason, carobhinge_engine_false_alarms_total the false alarms; both live as long as the process, as other totals do.

--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -107,19 +107,50 @@
   std::map<EndpointName, EngineLoss> Lost =
       this->FailureDetector.lostEngines(Now);
   for (const auto &[Id, Record] : this->Engines.all()) {
+    auto Found = Lost.find(Id);
     bool WasLost = this->Planner.isLost(Id);
-    if (Lost.contains(Id) == WasLost)
-      continue;
-    if (WasLost)
-      this->Planner.markEngineFound(Now, Id);
-    else
-      this->Planner.markEngineLost(Id, Lost.at(Id));
-    logEvent(Severity::Info, WasLost ? "engine-found" : "engine-lost",
-             {{"endpoint", Id},
-              {"group",
-               Record.Report.Group ? Record.Report.Group->Group : GroupName()},
-              {"heard_ms_ago", milliseconds(Now - Record.LastReportAt)}});
+    if (Found != Lost.end() && !WasLost)
+      this->recordLoss(Now, Record, Found->second);
+    else if (Found == Lost.end() && WasLost)
+      this->recordRecovery(Now, Record);
   }
+  std::erase_if(this->LostLives, [&](const auto &Entry) {
+    return this->Engines.find(Entry.first) == nullptr;
+  });
+}
+
+static GroupName groupOf(const EngineRecord &Record) {
+  return Record.Report.Group ? Record.Report.Group->Group : GroupName();
+}
+
+void GroupCoordinator::recordLoss(TimePoint Now, const EngineRecord &Record,
+                                  const EngineLoss &Loss) {
+  const EndpointName &Id = Record.Report.Id;
+  this->Planner.markEngineLost(Id, Loss);
+  this->LostLives[Id] = Record.Report.StartedAtMs;
+  ++this->LossCounts[Loss.Reason];
+  logEvent(Severity::Info, "engine-lost",
+           {{"endpoint", Id},
+            {"group", groupOf(Record)},
+            {"reason", lossReasonName(Loss.Reason)},
+            {"silent_ms", milliseconds(Now - Loss.Since)},
+            {"heard_by", signOfLifeName(Loss.HeardBy)},
+            {"heard_ms_ago", milliseconds(Now - Loss.HeardAt)}});
+}
+
+void GroupCoordinator::recordRecovery(TimePoint Now,
+                                      const EngineRecord &Record) {
+  const EndpointName &Id = Record.Report.Id;
+  this->Planner.markEngineFound(Now, Id);
+  auto Life = this->LostLives.find(Id);
+  bool IsSameLife = Life != this->LostLives.end() &&
+                    Life->second == Record.Report.StartedAtMs;
+  this->FalseAlarms += IsSameLife ? 1 : 0;
+  logEvent(Severity::Info, "engine-found",
+           {{"endpoint", Id},
+            {"group", groupOf(Record)},
+            {"same_life", IsSameLife ? 1 : 0},
+            {"heard_ms_ago", milliseconds(Now - Record.LastReportAt)}});
 }
 
 EndpointHoldOffs::Endpoint
@@ -285,6 +316,12 @@
     SetGauge("engines", "lost", Count.Lost);
     SetGauge("engines", "idle", Count.Idle);
   }
+  for (const auto &[Reason, Count] : this->LossCounts)
+    Output.setGauge("engines_lost_total{reason=\"" +
+                        std::string(lossReasonName(Reason)) + "\"}",
+                    static_cast<double>(Count));
+  Output.setGauge("engine_false_alarms_total",
+                  static_cast<double>(this->FalseAlarms));
 }
 
 bool GroupCoordinator::step(TimePoint Now, const Catalog &ActiveCatalog) {
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -74,6 +74,9 @@
 
 private:
   void updateLostEngines(TimePoint Now);
+  void recordLoss(TimePoint Now, const EngineRecord &Record,
+                  const EngineLoss &Loss);
+  void recordRecovery(TimePoint Now, const EngineRecord &Record);
   /// \returns whether a limit changed.
   bool recordLimits(TimePoint Now, const message::PulseCall &Call);
   [[nodiscard]] static EndpointHoldOffs::Endpoint
@@ -111,6 +114,12 @@
   EndpointHoldOffs HoldOffs;
   EngineFailureDetector FailureDetector;
   FormationPlanner Planner;
+  /// Losses of this process by their reason.
+  std::map<LossReason, std::uint64_t> LossCounts;
+  /// Lost engines that were heard again in the same life.
+  std::uint64_t FalseAlarms = 0;
+  /// The lives that were lost.
+  std::map<EndpointName, std::int64_t> LostLives;
   bool Leading = false;
   TimePoint LastFleetLogAt;
   std::map<std::string, PublishedTarget> Targets;
--- a/Libraries/LibFormation/EngineFailureDetector.cpp
+++ b/Libraries/LibFormation/EngineFailureDetector.cpp
@@ -5,6 +5,22 @@
 
 namespace carobhinge {
 
+std::string_view lossReasonName(LossReason Reason) {
+  return Reason == LossReason::Refused ? "refused" : "silent";
+}
+
+std::string_view signOfLifeName(SignOfLife Sign) {
+  switch (Sign) {
+  case SignOfLife::Report:
+    return "report";
+  case SignOfLife::Answer:
+    return "answer";
+  case SignOfLife::Progress:
+    return "progress";
+  }
+  return "";
+}
+
 void EngineFailureDetector::recordProgress(const GroupName &Group,
                                            std::uint64_t Epoch,
                                            TimePoint EventAt) {
--- a/Libraries/LibFormation/EngineFailureDetector.h
+++ b/Libraries/LibFormation/EngineFailureDetector.h
@@ -20,6 +20,7 @@
 #include <LibFormation/EngineRegistry.h>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -67,6 +68,10 @@
 /// What an engine was last heard by.
 enum class SignOfLife { Report, Answer, Progress };
 
+/// \returns names for logs and metrics, such as "refused" and "report".
+[[nodiscard]] std::string_view lossReasonName(LossReason Reason);
+[[nodiscard]] std::string_view signOfLifeName(SignOfLife Sign);
+
 /// The evidence that an engine has ended.
 struct EngineLoss {
   LossReason Reason = LossReason::Silent;
--- a/Tests/LibCommands/TestRequestTrace.cpp
+++ b/Tests/LibCommands/TestRequestTrace.cpp
@@ -41,7 +41,8 @@
 
 static constexpr std::string_view EngineLostLine =
     R"({"time":"T4","host":"c1","event":"engine-lost","endpoint":"x",)"
-    R"("group":"g","heard_ms_ago":900})";
+    R"("group":"g","reason":"silent","silent_ms":1900,"heard_by":"answer",)"
+    R"("heard_ms_ago":2500})";
 
 static constexpr std::string_view AttemptLine =
     R"({"time":"T5","host":"e1","event":"attempt","request":"b",)"
@@ -54,7 +55,10 @@
   std::string Text = renderTrace(
       "b", {CutOffLine, EngineLostLine, AttemptLine, OmittedLine, RefusedLine});
   EXPECT_LT(Text.find("T5"), Text.find("T9"));
-  EXPECT_NE(Text.find("engine-lost endpoint=x"), std::string::npos) << Text;
+  EXPECT_NE(Text.find("engine-lost endpoint=x group=g reason=silent "
+                      "silent_ms=1900 heard_by=answer heard_ms_ago=2500"),
+            std::string::npos)
+      << Text;
   EXPECT_NE(Text.find("Its stream was cut off: repeat not allowed; its last "
                       "attempt at h ended lost because: place stood still."),
             std::string::npos)
