LibFormation: Don't suspect a group for a member that it has lost

The engine's last report still names the group, and isSuspect() took its silence for a doubt that is unresolved. It also took an old stall for the reason of a doubt that began much later at this host alone.

A lost engine is no doubt any more, and a stall counts for doubts that began within SuspicionTimeout of it. Both new tests fail without the change.

--- a/Libraries/LibFormation/EngineFailureDetector.cpp
+++ b/Libraries/LibFormation/EngineFailureDetector.cpp
@@ -63,9 +63,15 @@
   if (Now - Stall->second <= this->Options.SuspicionTimeout)
     return true;
   return std::ranges::any_of(this->Contacts, [&](const auto &Entry) {
+    const Contact &State = Entry.second;
+    // A lost engine may have been replaced in its group, and an old stall says
+    // nothing about a doubt that began later.
+    if (!State.SilentSince || State.Loss ||
+        *State.SilentSince - Stall->second > this->Options.SuspicionTimeout)
+      return false;
     const EngineRecord *Record = this->Engines.find(Entry.first);
-    return Entry.second.SilentSince && Record != nullptr &&
-           Record->Report.Group && Record->Report.Group->Group == Group;
+    return Record != nullptr && Record->Report.Group &&
+           Record->Report.Group->Group == Group;
   });
 }
 
--- a/Tests/LibFormation/TestEngineFailureDetector.cpp
+++ b/Tests/LibFormation/TestEngineFailureDetector.cpp
@@ -150,6 +150,24 @@
   EXPECT_EQ(this->run(Milliseconds(500), Both), Both);
 }
 
+// Guards against a repaired group that gets no requests, because the member
+// that it lost reported it last.
+TEST_F(EngineFailureDetectorTest, LossOfAMemberEndsTheSuspicion) {
+  this->Detector.recordStall(this->Now, "g");
+  EXPECT_EQ(this->run(seconds(3), {"one"}), std::set<EndpointName>{"one"});
+  EXPECT_FALSE(this->Detector.isSuspect(this->Now, "g"));
+}
+
+// Guards against a group that gets no requests for a doubt of this host alone,
+// because of a stall that is long over.
+TEST_F(EngineFailureDetectorTest, OldStallDoesNotMakeALaterDoubtASuspicion) {
+  this->Detector.recordStall(this->Now, "g");
+  this->run(Milliseconds(1000), {});
+  EXPECT_FALSE(this->Detector.isSuspect(this->Now, "g"));
+  this->run(Milliseconds(1500), {"one"});
+  EXPECT_FALSE(this->Detector.isSuspect(this->Now, "g"));
+}
+
 // Guards against new requests for a group whose silent member is neither heard
 // nor lost yet.
 TEST_F(EngineFailureDetectorTest, GroupStaysSuspectWhileAMemberIsInDoubt) {
