Tests: Run whole streams with a standby against two engines

Guards CallerSession, StandbyAttempt and StandbyRace together: the standby goes on after the last event, the first attempt is kept if it speaks, either may break off, both end with their caller, and over 60 seeds each event is passed on once and nothing stays in progress at the dispatcher.

--- /dev/null
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -0,0 +1,342 @@
+//===- Tests/LibEntry/TestStandby.cpp - Two attempts at one stream --------===//
+///
+/// \file
+/// Guards against callers that get no whole answer because an attempt was given
+/// up before its repeat had brought anything, against events that come twice or
+/// not at all where two attempts run, and against attempts that nobody ends.
+/// Runs whole requests against two engines on loopback.
+///
+//===----------------------------------------------------------------------===//
+
+#include <LibEntry/CallerSession.h>
+
+#include <boost/asio.hpp>
+#include <gtest/gtest.h>
+#include <random>
+
+using namespace carobhinge;
+namespace asio = boost::asio;
+
+static constexpr std::uint64_t EventCount = 6;
+static constexpr auto Millisecond = std::chrono::milliseconds(1);
+
+static std::string makeEvents(std::uint64_t First, std::uint64_t Last) {
+  std::string Events;
+  for (std::uint64_t Id = First; Id <= Last; ++Id)
+    Events += "id: " + std::to_string(Id) + "\ndata: x\n\n";
+  return Events;
+}
+
+namespace {
+
+class TestProtocol : public EndpointProtocol {
+public:
+  RequestMetadata readCall(const HttpRequest &) const override {
+    return {.AttemptId = "r1", .Host = "host"};
+  }
+  HttpRequest makeEndpointRequest(const HttpRequest &Call,
+                                  const DispatchMetadata &Data) const override {
+    HttpRequest Request = Call;
+    Request.Headers.add("Resume", std::to_string(Data.ResumeAfter.value_or(0)));
+    return Request;
+  }
+  HttpRequest makePeerRequest(const HttpRequest &Call,
+                              const DispatchMetadata &) const override {
+    return Call;
+  }
+  ResponseMetadata readAnswer(const HttpResponseHead &) const override {
+    return {.AttemptId = "r1", .Signed = true, .IsEventStream = true};
+  }
+  HttpResponseHead
+  makeCallerHead(const HttpResponseHead &Answer) const override {
+    return Answer;
+  }
+  HttpResponseHead makePeerHead(const HttpResponseHead &Answer,
+                                const EndpointName &) const override {
+    return Answer;
+  }
+  void addCatalogVersion(HttpHeaders &, std::uint64_t) const override {}
+  HttpResponse makeRefusal(unsigned Status, std::string_view, std::string_view,
+                           std::optional<Duration>) const override {
+    return {.Status = Status};
+  }
+};
+
+class TestCaller : public HttpExchange {
+public:
+  const HttpRequest &request() const override { return this->Request; }
+  asio::awaitable<void> respond(HttpResponse Response) override {
+    this->Status = Response.Status;
+    co_return;
+  }
+  asio::awaitable<void> startStream(HttpResponseHead) override {
+    ++this->Heads;
+    co_return;
+  }
+  asio::awaitable<void> writeChunk(std::string Data) override {
+    this->Body += Data;
+    co_return;
+  }
+  asio::awaitable<void> finishStream() override {
+    this->IsFinished = true;
+    co_return;
+  }
+  void onCallerDisconnected(std::function<void()> Callback) override {
+    this->OnDisconnected = std::move(Callback);
+  }
+  bool callerDisconnected() const override { return this->IsGone; }
+  void leave() {
+    this->IsGone = true;
+    this->OnDisconnected();
+  }
+
+  HttpRequest Request{.Method = "POST", .Target = "/a/b"};
+  std::function<void()> OnDisconnected;
+  unsigned Status = 0;
+  int Heads = 0;
+  std::string Body;
+  bool IsFinished = false;
+  bool IsGone = false;
+};
+
+/// Sends events as the test tells it to.
+class TestEngine {
+public:
+  explicit TestEngine(asio::io_context &Context)
+      : Wakeup(Context.get_executor()),
+        Server(
+            Context.get_executor(), {.Listen = "127.0.0.1:0"},
+            [this](HttpExchange &Exchange) { return this->serve(Exchange); }) {
+    this->Server.start();
+  }
+
+  asio::awaitable<void> serve(HttpExchange &Exchange) {
+    // A write to a caller that is gone throws.
+    struct ActiveGuard {
+      bool &IsActive;
+      ~ActiveGuard() { this->IsActive = false; }
+    } Guard{this->IsActive};
+    this->IsActive = true;
+    Exchange.onCallerDisconnected([this] { this->wake(); });
+    std::uint64_t Next =
+        std::stoull(std::string(Exchange.request().Headers.value("Resume"))) +
+        1;
+    HttpResponseHead Head;
+    co_await Exchange.startStream(Head);
+    while (!Exchange.callerDisconnected() && !this->MustBreakOff) {
+      this->Wakeup.reset();
+      std::uint64_t Last = std::min(this->Allowed, EventCount);
+      if (Last >= Next) {
+        std::string Events = makeEvents(Next, Last);
+        Next = Last + 1;
+        co_await Exchange.writeChunk(Events);
+      }
+      if (Next > EventCount) {
+        co_await Exchange.finishStream();
+        break;
+      }
+      co_await this->Wakeup.wait(std::chrono::seconds(10));
+    }
+  }
+  void allow(std::uint64_t Last) {
+    this->Allowed = std::max(this->Allowed, Last);
+    this->wake();
+  }
+  void breakOff() {
+    this->MustBreakOff = true;
+    this->wake();
+  }
+  void wake() { this->Wakeup.fire(); }
+
+  Signal Wakeup;
+  std::uint64_t Allowed = 0;
+  bool MustBreakOff = false;
+  bool IsActive = false;
+  HttpServer Server;
+};
+
+class Standby : public ::testing::Test {
+protected:
+  void SetUp() override {
+    Catalog Content{.Version = 1};
+    Content.Routes.push_back({.Name = "stream",
+                              .Host = "host",
+                              .Prefix = "/a/",
+                              .Retries = RetryRule::Stream,
+                              .Timeout = std::chrono::seconds(5),
+                              .Objective = 50 * Millisecond,
+                              .PauseObjective = 50 * Millisecond,
+                              .Services = {{.Service = "s"}},
+                              .EndpointsPerRequest = 2,
+                              .Public = true,
+                              .Resumable = true});
+    this->State.Routes = std::make_shared<RouteTable>(std::move(Content));
+    this->list(0);
+  }
+
+  void list(std::size_t Engine) {
+    DispatchTarget Target{.Name = "t" + std::to_string(Engine),
+                          .Endpoint = "e" + std::to_string(Engine),
+                          .Address = this->Engines[Engine].Server.address(),
+                          .Service = "s"};
+    this->State.RequestDispatcher.update({&Target, 1});
+  }
+
+  /// Starts the request at the first engine, which sends two events, and then a
+  /// standby at the second one.
+  void startBoth() {
+    asio::co_spawn(
+        this->Context,
+        [this]() -> asio::awaitable<void> {
+          CallerSession Session(this->Shared, this->Caller);
+          co_await Session.run();
+        },
+        [this](const std::exception_ptr &) { this->IsOver = true; });
+    this->Engines[0].allow(2);
+    this->runUntil([this] { return this->Caller.Body == makeEvents(1, 2); });
+    this->list(1);
+    ASSERT_EQ(this->Shared.StandbyCallbacks.size(), 1U);
+    this->Shared.StandbyCallbacks.begin()->second(/*IsStalled=*/true);
+    this->runUntil([this] { return this->Engines[1].IsActive; });
+  }
+
+  template <class Predicate> void runUntil(Predicate Done) {
+    TimePoint End = monotonicNow() + std::chrono::seconds(8);
+    while (!Done() && monotonicNow() < End)
+      this->Context.run_one_for(10 * Millisecond);
+    EXPECT_TRUE(Done());
+  }
+  void runFor(Duration Time) { this->Context.run_for(Time); }
+
+  /// Nothing is in progress, here or at the engines.
+  void expectNothingLeft() {
+    this->runUntil([this] {
+      return this->IsOver && !this->Engines[0].IsActive &&
+             !this->Engines[1].IsActive;
+    });
+    this->runFor(20 * Millisecond);
+    for (const Dispatcher::TargetLoad &Load :
+         this->State.RequestDispatcher.targetLoads(monotonicNow()))
+      EXPECT_EQ(Load.InFlight, 0) << Load.Name;
+    EXPECT_TRUE(this->Shared.StandbyCallbacks.empty());
+  }
+  void expectWholeAnswer() {
+    this->expectNothingLeft();
+    EXPECT_EQ(this->Caller.Body, makeEvents(1, EventCount));
+    EXPECT_TRUE(this->Caller.IsFinished);
+    EXPECT_EQ(this->Caller.Heads, 1);
+  }
+
+  static HostSettings makeSettings() {
+    HostSettings Result;
+    Result.Bounds.RetrySlack = 100;
+    return Result;
+  }
+
+  asio::io_context Context{1};
+  std::array<TestEngine, 2> Engines{TestEngine(Context), TestEngine(Context)};
+  HostSettings Settings = makeSettings();
+  EntryState State{Settings};
+  TestProtocol Protocol;
+  HttpClient Client{Context.get_executor(), {.SingleThread = true}};
+  Metrics ProcessMetrics;
+  SharedByteBudget Budget{std::size_t(16) * 1024 * 1024};
+  LimitLog Limits{ProcessMetrics};
+  SessionContext Shared{.Executor = Context.get_executor(),
+                        .State = State,
+                        .Protocol = Protocol,
+                        .Client = Client,
+                        .ProcessMetrics = ProcessMetrics,
+                        .Budget = Budget,
+                        .Limits = Limits,
+                        .StandbyCallbacks = {},
+                        .ActiveSessions = {}};
+  TestCaller Caller;
+  bool IsOver = false;
+};
+
+} // namespace
+
+TEST_F(Standby, GoesOnAfterTheLastEventOfASilentStream) {
+  this->startBoth();
+  EXPECT_TRUE(this->Engines[0].IsActive);
+  this->Engines[1].allow(EventCount);
+  this->expectWholeAnswer();
+}
+
+TEST_F(Standby, IsCancelledOnceTheFirstAttemptSpeaks) {
+  this->startBoth();
+  this->Engines[0].allow(3);
+  this->runUntil([this] { return !this->Engines[1].IsActive; });
+  this->Engines[0].allow(EventCount);
+  this->expectWholeAnswer();
+}
+
+TEST_F(Standby, GoesOnAloneIfTheFirstAttemptBreaksOff) {
+  this->startBoth();
+  this->Engines[0].breakOff();
+  this->runFor(50 * Millisecond);
+  EXPECT_FALSE(this->IsOver);
+  this->Engines[1].allow(EventCount);
+  this->expectWholeAnswer();
+}
+
+TEST_F(Standby, LeavesTheRequestToTheFirstAttemptIfItBreaksOff) {
+  this->startBoth();
+  this->Engines[1].breakOff();
+  this->runFor(50 * Millisecond);
+  EXPECT_FALSE(this->IsOver);
+  this->Engines[0].allow(EventCount);
+  this->expectWholeAnswer();
+}
+
+TEST_F(Standby, RequestEndsWhenBothAttemptsHaveEnded) {
+  this->startBoth();
+  this->Engines[0].breakOff();
+  this->Engines[1].breakOff();
+  this->expectNothingLeft();
+  EXPECT_FALSE(this->Caller.IsFinished);
+}
+
+TEST_F(Standby, EndsWithItsCaller) {
+  this->startBoth();
+  this->Caller.leave();
+  this->expectNothingLeft();
+  EXPECT_EQ(this->Caller.Body, makeEvents(1, 2));
+}
+
+/// Whatever two engines do: the caller gets each event once and in order, and
+/// the end of the stream after the last one only.
+class StandbyProperty : public Standby,
+                        public ::testing::WithParamInterface<unsigned> {};
+
+TEST_P(StandbyProperty, PassesOnEachEventOnce) {
+  std::mt19937 Random(this->GetParam());
+  this->startBoth();
+  for (int Step = 0; Step < 12 && !this->IsOver; ++Step) {
+    TestEngine &Engine = this->Engines[Random() % 2];
+    switch (Random() % 8) {
+    case 0:
+      Engine.breakOff();
+      break;
+    case 1:
+      this->runFor((Random() % 5) * Millisecond);
+      break;
+    case 2:
+      if (Step > 6 && !this->Caller.IsGone)
+        this->Caller.leave();
+      break;
+    default:
+      Engine.allow(Engine.Allowed + Random() % 3);
+    }
+    this->Context.poll_one();
+  }
+  for (TestEngine &Engine : this->Engines)
+    Engine.allow(EventCount);
+  this->expectNothingLeft();
+  std::string Whole = makeEvents(1, EventCount);
+  EXPECT_TRUE(Whole.starts_with(this->Caller.Body)) << this->Caller.Body;
+  EXPECT_TRUE(!this->Caller.IsFinished || this->Caller.Body == Whole);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, StandbyProperty, ::testing::Range(1U, 61U));
