--- a/Soak/FaultPlan.cpp
+++ b/Soak/FaultPlan.cpp
@@ -234,7 +234,8 @@
   const FaultPlanOptions &Options;
 };
 
-/// Draws silences in series, each beside a change, a reload or a stop.
+/// Draws silences in series, each beside a change, a reload or a stop. Half of
+/// the series come after the other faults, which would excuse what they cost.
 class SilenceGenerator {
 public:
   SilenceGenerator(std::uint64_t Seed, const FaultPlanOptions &Options)
@@ -256,6 +257,8 @@
         0, std::chrono::duration_cast<std::chrono::milliseconds>(
                this->Options.StartWindow)
                .count());
+    if (this->randomBelow(2) == 0)
+      StartTime = this->Options.StartWindow + this->randomDuration(3000, 6000);
     Fault Companion{.StartTime = StartTime + this->randomDuration(0, 1000)};
     Companion.Kind = Companions[this->randomBelow(Companions.size())];
     Companion.Target = this->randomBelow(this->Options.Hosts);
