LibRouting: Say that an attempt given up here is no lost contact

EngineContact takes attempts that failed as evidence that this host can't reach engines. Until now an attempt that the host itself ended after an unanswered probe counted too. No behaviour changes here.

--- a/Libraries/LibRouting/EngineContact.h
+++ b/Libraries/LibRouting/EngineContact.h
@@ -34,7 +34,8 @@
 
   /// An engine sent a byte.
   void recordReached();
-  /// A connection to \p Engine could not be opened, was lost or fell silent.
+  /// A connection to \p Engine could not be opened, was lost or fell silent. An
+  /// attempt that this host ended itself is no failure.
   void recordFailure(TimePoint Now, const EndpointName &Engine);
 
   [[nodiscard]] bool isCutOff() const {
