LibEntry: Let one request at a time find out about a target in doubt

Where engines work 200 times slower for a second, a group says nothing for up to 8 s. Its callers and standbys leave it within 2 s, its doubt ended a second later, and then it looked idle, so that it got most of the new requests.

A target in doubt that has no requests in progress now gets one, and no more until it sends an event. A standby is not sent to one at all.

--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -111,9 +111,12 @@
          Now >= Candidate.NextColdRequestAt;
 }
 
+/// A target whose streams have all left it says nothing, stuck or not. Until it
+/// sends an event, one request at a time finds out.
 bool Dispatcher::isDoubted(TimePoint Now, const TargetRecord &Record) const {
   return Record.DoubtedAt &&
-         Now - *Record.DoubtedAt < this->Options.DoubtExpiry;
+         (Record.InFlight > 0 ||
+          Now - *Record.DoubtedAt < this->Options.DoubtExpiry);
 }
 
 Dispatcher::Trust Dispatcher::trust(TimePoint Now,
@@ -301,7 +304,8 @@
             Request.ExcludedTargets.end())
       continue;
     Trust RecordTrust = this->trust(Now, Record);
-    if (Request.OnlyTrusted && RecordTrust != Trust::Sound)
+    if (Request.OnlyTrusted &&
+        (RecordTrust != Trust::Sound || Record.DoubtedAt))
       continue;
     if (!this->HoldOffs.mayReceive(Now, endpointOf(Record))) {
       TimePoint End = this->HoldOffs.pauseEnd(endpointOf(Record)).value_or(Now);
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -71,8 +71,8 @@
   /// As EventTimeout, for a stream that waits for its first event; includes
   /// the wait for a slot and the processing of the prompt.
   Duration FirstEventTimeout = std::chrono::milliseconds(700);
-  /// A doubt without streams in progress ends after this time, so that the
-  /// target is tried again. A suspicion is repeated after it.
+  /// A target in doubt that has no requests in progress gets one after this
+  /// time. A suspicion is repeated after it.
   Duration DoubtExpiry = std::chrono::milliseconds(1000);
   /// Back-off after a failed connection, doubled with each consecutive failure
   /// up to MaxBackOff.
--- a/Tests/LibEntry/TestDispatcher.cpp
+++ b/Tests/LibEntry/TestDispatcher.cpp
@@ -313,6 +313,27 @@
               "g1");
 }
 
+/// Guards against stuck groups that look idle once their callers have left, and
+/// then get most of the new requests.
+TEST(Dispatcher, GroupInDoubtGetsOneRequestAtATimeUntilItSendsAnEvent) {
+  Dispatcher Selector = makeDispatcher();
+  Selector.update(makeGroups(2));
+  AttemptNumber Stream = Selector.beginAttempt(Start, "g0", true);
+  EXPECT_TRUE(Selector.findStalledAttempts(Start + seconds(1)).empty());
+  Selector.endAttempt(Start + seconds(1), Stream, DispatchResult::Cancelled);
+  TimePoint Now = Start + seconds(3);
+  for (int I = 0; I < 20; ++I)
+    Selector.beginAttempt(Now, "g1", true);
+  DispatchRequest Trusting = LargeRequest;
+  Trusting.OnlyTrusted = true;
+  EXPECT_EQ(Selector.chooseTarget(Now, Trusting).Target->Name, "g1");
+  EXPECT_EQ(Selector.chooseTarget(Now, LargeRequest).Target->Name, "g0");
+  AttemptNumber Trial = Selector.beginAttempt(Now, "g0", true);
+  EXPECT_EQ(Selector.chooseTarget(Now, LargeRequest).Target->Name, "g1");
+  Selector.recordProgress(Now, Trial);
+  EXPECT_EQ(Selector.chooseTarget(Now, LargeRequest).Target->Name, "g0");
+}
+
 /// Guards against new requests that return at once to the place that a standby
 /// has just replaced.
 TEST(Dispatcher, TargetOfSupersededAttemptIsSelectedOnlyWithoutOthers) {
