LibEntry: Let a repeat wait for a place while time and rights are left

A request that may have run, may be repeated and has time left now looks for a place every 50 ms. One that has not run is refused at once as before.

StreamOfALostEngineWaitsForAPlace failed without the change.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -26,6 +26,8 @@
 static constexpr auto ProbeConnectTimeout = std::chrono::milliseconds(100);
 /// No attempt is started with less time left: no endpoint could answer.
 static constexpr auto MinAttemptTime = std::chrono::milliseconds(20);
+/// Between two looks for a place of a request that waits for its repeat.
+static constexpr auto PlaceCheckInterval = std::chrono::milliseconds(50);
 /// Attempts of one request, including those that no endpoint has run.
 static constexpr int MaxAttempts = 4;
 /// Attempts that could not be written, after which the request is handed on.
@@ -337,6 +339,11 @@
       this->Context.State.recordArrival(monotonicNow(), this->TargetService,
                                         this->CallerRequest.Model,
                                         !Choice.Target);
+    if (!Choice.Target && this->canAwaitPlace()) {
+      Signal Pause(this->Context.Executor);
+      co_await Pause.wait(PlaceCheckInterval);
+      continue;
+    }
     if (!Choice.Target && Choice.AllFull)
       co_return co_await this->endWithoutAnswer("all places are full");
     if (!Choice.Target && Choice.PausedUntil)
@@ -360,6 +367,13 @@
                                                          : "attempt failed");
 }
 
+bool CallerSession::canAwaitPlace() const {
+  return this->MayHaveRun && this->MatchedRoute->isSafeToRetry() &&
+         this->PossibleRuns<this->MatchedRoute->EndpointsPerRequest &&this
+                                ->remainingTime()> this->MatchedRoute
+             ->Objective;
+}
+
 EngineContact &CallerSession::contact() {
   return this->Context.State.Contacts[this->TargetService];
 }
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -144,6 +144,9 @@
   [[nodiscard]] Duration
   returnTime(RefusalCause Cause,
              std::optional<TimePoint> PausedUntil = std::nullopt) const;
+  /// \returns whether a request without a place for its repeat waits for one.
+  /// One that has not run is refused at once.
+  [[nodiscard]] bool canAwaitPlace() const;
   /// \returns whether the route and the retry budget allow another attempt.
   /// Takes one retry from the budget if so.
   bool canRetry();
--- a/Tests/LibEntry/TestStandby.cpp
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -182,9 +182,8 @@
     this->State.RequestDispatcher.update({&Target, 1});
   }
 
-  /// Starts the request at the first engine, which sends two events, and then a
-  /// standby at the second one.
-  void startBoth() {
+  /// Starts the request at the first engine, which sends two events.
+  void startFirst() {
     asio::co_spawn(
         this->Context,
         [this]() -> asio::awaitable<void> {
@@ -194,6 +193,10 @@
         [this](const std::exception_ptr &) { this->IsOver = true; });
     this->Engines[0].allow(2);
     this->runUntil([this] { return this->Caller.Body == makeEvents(1, 2); });
+  }
+  /// Starts a standby at the second engine, too.
+  void startBoth() {
+    this->startFirst();
     this->list(1);
     ASSERT_EQ(this->Shared.StandbyCallbacks.size(), 1U);
     this->Shared.StandbyCallbacks.begin()->second(/*IsStalled=*/true);
@@ -305,6 +308,18 @@
   EXPECT_EQ(this->Caller.Body, makeEvents(1, 2));
 }
 
+/// Guards against streams that end because no other place is there at the
+/// moment at which their engine ends.
+TEST_F(Standby, StreamOfALostEngineWaitsForAPlace) {
+  this->startFirst();
+  this->Engines[0].breakOff();
+  this->runFor(100 * Millisecond);
+  EXPECT_FALSE(this->IsOver);
+  this->Engines[1].allow(EventCount);
+  this->list(1);
+  this->expectWholeAnswer();
+}
+
 /// Whatever two engines do: the caller gets each event once and in order, and
 /// the end of the stream after the last one only.
 class StandbyProperty : public Standby,
