Tests: Show the log lines that are no log lines

A run whose process prints something other than a log line, such as why it was aborted, said only that the line was no JSON.

--- a/Tests/PlatformWorld/LogReader.cpp
+++ b/Tests/PlatformWorld/LogReader.cpp
@@ -12,6 +12,9 @@
 
 namespace carobhinge {
 
+/// How much of an invalid line is shown.
+static constexpr std::size_t ShownBytes = 300;
+
 /// The time of a log line, "2026-12-05T23:31:44.349Z".
 static std::chrono::sys_time<std::chrono::milliseconds>
 lineTime(std::string_view Text) {
@@ -50,7 +53,8 @@
       if (!LineFindings.empty()) {
         if (!Incomplete)
           Summary.Faults.push_back(Path.filename().string() + ": " +
-                                   LineFindings.report());
+                                   LineFindings.report() +
+                                   "in: " + Line.substr(0, ShownBytes));
         continue;
       }
       json::value Value = json::parse(Line);
