LibEntry: Take handed-on requests with the fields that hosts add

Callers whose head was just within max_header_bytes got 502, outcome unknown, when their entry host reached no endpoint and handed the request on.

Cause: the peer applied the limit of callers to the request with the fields that the first host had added, and refused it with 431, which the first host can't take for a promise that it didn't run.

The limit for requests from other hosts is now 1 KiB higher. LongestHeadIsServed sends the longest head that one host serves through a host that is cut off: 502 before the change, 200 after it, ten runs of ten.

--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -12,6 +12,8 @@
 
 namespace carobhinge {
 
+/// For the fields that a host adds to a request that it hands on.
+static constexpr std::size_t HandedOnFieldBytes = 1024;
 /// Closing the links to the control hosts takes one iteration of the executor.
 static constexpr auto LinkCloseTime = std::chrono::milliseconds(50);
 /// Between two checks for stalled targets.
@@ -107,13 +109,16 @@
 
 void EntryProcess::applyLimits() {
   const CallerLimits &Limits = this->State.Routes->catalog().Limits;
-  for (HttpServer *Server : {&this->CallerServer, &this->PeerServer})
-    Server->setLimits({.HeaderBytes = Limits.HeaderBytes,
-                       .BodyBytes = Limits.BodyBytes,
-                       .HeadTimeout = Limits.HeaderTimeout,
-                       .TransferTimeout = Limits.HeaderTimeout * 3,
-                       .UntakenTimeout = Limits.HeaderTimeout,
-                       .IdleTimeout = Limits.IdleTimeout});
+  HttpServerLimits ServerLimits{.HeaderBytes = Limits.HeaderBytes,
+                                .BodyBytes = Limits.BodyBytes,
+                                .HeadTimeout = Limits.HeaderTimeout,
+                                .TransferTimeout = Limits.HeaderTimeout * 3,
+                                .UntakenTimeout = Limits.HeaderTimeout,
+                                .IdleTimeout = Limits.IdleTimeout};
+  this->CallerServer.setLimits(ServerLimits);
+  // What a host handed on was within the limits there.
+  ServerLimits.HeaderBytes += HandedOnFieldBytes;
+  this->PeerServer.setLimits(ServerLimits);
 }
 
 asio::awaitable<void> EntryProcess::serve(HttpExchange &Exchange,
