LibEntry: Try endpoints with requests that have a repeat left

Callers of a repeatable route with max_attempts 1 got 502, outcome unknown, from a host that was cut off from its endpoints, although other hosts served the requests after and before them.

Cause: during a cut, one request in 300 ms tries to reach an endpoint. It was taken for one that may repeat by the kind of its route alone, so that it was lost with "repeat not allowed" when the connection was closed. A configuration that sets max_attempts to 1 is enough.

Such a request now counts as one that must not repeat, and tries an endpoint only if no other has come for four times as long. It is still lost then.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -356,8 +356,9 @@
 bool CallerSession::isOutOfReach() {
   EngineContact &Contact = this->contact();
   if (this->AttemptCount == 0 && this->TriedPeers.empty())
-    this->IsProbe = Contact.shouldProbe(monotonicNow(),
-                                        this->MatchedRoute->isSafeToRetry());
+    this->IsProbe = Contact.shouldProbe(
+        monotonicNow(), this->MatchedRoute->isSafeToRetry() &&
+                            this->MatchedRoute->EndpointsPerRequest > 1);
   this->HasProbed = this->HasProbed || this->IsProbe;
   bool IsProbing = this->IsProbe && this->AttemptCount == 0;
   return (Contact.isCutOff() && !IsProbing) ||
--- a/Tests/PlatformProcesses/TestForwardedRequests.cpp
+++ b/Tests/PlatformProcesses/TestForwardedRequests.cpp
@@ -7,6 +7,7 @@
 //===----------------------------------------------------------------------===//
 
 #include <LibHTTP/BlockingFetch.h>
+#include <LibRouting/EngineContact.h>
 #include <PlatformWorld/PlatformVerifyingCaller.h>
 #include <csignal>
 #include <future>
@@ -100,3 +101,16 @@
   static_cast<void>(this->fetchStatus(CutOff, 1));
   EXPECT_EQ(this->fetchStatus(CutOff, Padding), 200U);
 }
+
+// Guards against a request that is lost since it tries to reach an endpoint
+// during the cut, although its route allows no second one.
+TEST_F(ForwardedRequests, RequestsWithoutARepeatAreRarelyTried) {
+  ASSERT_TRUE(this->Deployment.putCatalog(2));
+  // At last one is tried, for want of others, and lost.
+  std::size_t Padding = 0;
+  PlatformDeployment::waitFor("a request is tried", [this, &Padding] {
+    return this->fetchStatus(CutOff, ++Padding) == 502;
+  });
+  std::this_thread::sleep_for(2 * EngineContactOptions().ProbeInterval);
+  EXPECT_EQ(this->fetchStatus(CutOff, ++Padding), 200U);
+}
