LibEntry: Report no crash of an engine whose last attempt ends here

What callers saw: nothing yet; found by the review. A caller that left, or a deadline, while a standby was the only attempt made the entry host report a crash of the standby's sound engine, and the prompt of that caller became a suspect.

Cause: the session cancelled the call of a standby that it followed, but not the standby, which then took the closed connection for a loss by the engine (back-off, contact failure, crash report).

Change: cancelCall() ends a followed attempt by StandbyAttempt::cancel(), which says that this host ended it.

Evidence: LastAttemptThatThisHostEndsIsNoCrash failed before with a report on the second engine; TestLibEntry passes (129 tests).

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -93,17 +93,22 @@
   this->Exchange.onCallerDisconnected(nullptr);
 }
 
+void CallerSession::cancelCall() {
+  if (this->FollowedAttempt != nullptr)
+    this->FollowedAttempt->cancel();
+  else if (this->CallControl != nullptr)
+    this->CallControl->cancel();
+}
+
 void CallerSession::handleCallerDisconnect() {
   this->dropStandby();
-  if (this->CallControl != nullptr)
-    this->CallControl->cancel();
+  this->cancelCall();
 }
 
 void CallerSession::handleDeadline() {
   this->DeadlinePassed = true;
   this->dropStandby();
-  if (this->CallControl != nullptr)
-    this->CallControl->cancel();
+  this->cancelCall();
 }
 
 void CallerSession::recordOutcome(std::string_view Outcome,
@@ -479,8 +484,7 @@
   if (!this->Race.deliver(StandbyRace::Runner::Standby))
     return false;
   this->IsSuperseded = true;
-  if (this->CallControl != nullptr)
-    this->CallControl->cancel();
+  this->cancelCall();
   return true;
 }
 
@@ -518,6 +522,7 @@
   this->Race.endFirst();
   this->beginAttempt(Followed->target(), Followed->number());
   this->CallControl = &Followed->control();
+  this->FollowedAttempt = Followed.get();
   std::optional<HttpCallOutcome> End;
   bool IsCallerGone = false;
   try {
@@ -525,6 +530,7 @@
   } catch (const boost::system::system_error &) {
     IsCallerGone = true;
   }
+  this->FollowedAttempt = nullptr;
   this->CallControl = nullptr;
   if (!End && !IsCallerGone) {
     this->Context.StandbyCallbacks.erase(this->CurrentAttempt);
@@ -1019,8 +1025,7 @@
 
 void CallerSession::rejectAnswer() {
   this->IsUnusable = true;
-  if (this->CallControl != nullptr)
-    this->CallControl->cancel();
+  this->cancelCall();
 }
 
 void CallerSession::rejectAnswer(std::string_view Limit) {
@@ -1058,8 +1063,7 @@
   freeStorage(this->AnswerBody);
   this->Relay.restart();
   this->dropStandby();
-  if (this->CallControl != nullptr)
-    this->CallControl->cancel();
+  this->cancelCall();
 }
 
 asio::awaitable<void> CallerSession::chunk(std::string Data) {
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -172,6 +172,8 @@
   [[nodiscard]] AttemptNumber registerAttempt(const DispatchTarget &Target);
   [[nodiscard]] HttpRequest makeEndpointRequest(const DispatchTarget &Target);
   [[nodiscard]] HttpCallOptions makeCallOptions() const;
+  /// Ends the attempt in progress, which says nothing about its endpoint.
+  void cancelCall();
   void handleCallerDisconnect();
   void handleDeadline();
   [[nodiscard]] Duration remainingTime() const {
@@ -198,6 +200,9 @@
 
   /// Null while no attempt is in progress.
   HttpCallControl *CallControl = nullptr;
+  /// The attempt in progress, if it began as a standby and may end by itself;
+  /// otherwise null.
+  StandbyAttempt *FollowedAttempt = nullptr;
   /// Null while no attempt runs beside the first one.
   std::shared_ptr<StandbyAttempt> Standby;
   StandbyRace Race;
--- a/Libraries/LibEntry/StandbyAttempt.h
+++ b/Libraries/LibEntry/StandbyAttempt.h
@@ -58,6 +58,8 @@
   follow(HttpResponseSink &Receiver);
   /// The session needs this attempt no more. Nothing is called back after this.
   void release();
+  /// This host ends the call; the session still follows it.
+  void cancel();
 
   [[nodiscard]] HttpCallControl &control() { return this->Control; }
   [[nodiscard]] const DispatchTarget &target() const {
@@ -80,7 +82,6 @@
   boost::asio::awaitable<void> perform();
   /// Waits until the session follows, and passes on what is held.
   boost::asio::awaitable<void> handOver();
-  void cancel();
   [[nodiscard]] bool hold(std::size_t Bytes);
   /// Ends the attempt of which nothing was passed on.
   void settle();
--- a/Tests/LibEntry/TestStandby.cpp
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -308,6 +308,19 @@
   EXPECT_EQ(this->Caller.Body, makeEvents(1, 2));
 }
 
+/// Guards against prompts that are blamed for the crash of a sound engine
+/// because their caller left while the standby was the only attempt.
+TEST_F(Standby, LastAttemptThatThisHostEndsIsNoCrash) {
+  this->startBoth();
+  this->Engines[0].breakOff();
+  this->runFor(50 * Millisecond);
+  this->Caller.leave();
+  this->expectNothingLeft();
+  for (const CrashReport &Crash : this->State.Crashes.takeCrashes(
+           monotonicNow() + std::chrono::seconds(2)))
+    EXPECT_NE(Crash.Engine, "e1");
+}
+
 /// Guards against streams that end because no other place is there at the
 /// moment at which their engine ends.
 TEST_F(Standby, StreamOfALostEngineWaitsForAPlace) {
