LibEntry: End the doubt about a target with a whole answer

What callers saw: nothing yet; found by the review. A target with streams and other requests stayed in doubt for as long as it had any of them, since only an event of a stream took the doubt back.

Change: an answered request takes it back too. WholeAnswerEndsTheDoubtAboutATarget failed before; TestLibEntry passes (130 tests).

--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -409,6 +409,7 @@
   if (Result == DispatchResult::Answered) {
     Record.ConsecutiveFailures = 0;
     Record.LastEventAt = Now;
+    Record.DoubtedAt.reset();
     this->HoldOffs.recordServed(Ended.Endpoint, Ended.SentAt);
   }
   if (Result == DispatchResult::Unreachable || Result == DispatchResult::Lost ||
--- a/Tests/LibEntry/TestDispatcher.cpp
+++ b/Tests/LibEntry/TestDispatcher.cpp
@@ -334,6 +334,24 @@
   EXPECT_EQ(Selector.chooseTarget(Now, LargeRequest).Target->Name, "g0");
 }
 
+/// Guards against a target that is avoided for as long as it has requests,
+/// although it answers those that aren't streams.
+TEST(Dispatcher, WholeAnswerEndsTheDoubtAboutATarget) {
+  Dispatcher Selector = makeDispatcher();
+  Selector.update(makeGroups(2));
+  AttemptNumber Stream = Selector.beginAttempt(Start, "g0", true);
+  EXPECT_TRUE(Selector.findStalledAttempts(Start + seconds(1)).empty());
+  const std::vector<DispatchTargetName> Excluded{"g1"};
+  DispatchRequest Trusting = LargeRequest;
+  Trusting.OnlyTrusted = true;
+  Trusting.ExcludedTargets = Excluded;
+  EXPECT_FALSE(Selector.chooseTarget(Start + seconds(1), Trusting).Target);
+  AttemptNumber Plain = Selector.beginAttempt(Start + seconds(1), "g0", false);
+  Selector.endAttempt(Start + seconds(1), Plain, DispatchResult::Answered);
+  EXPECT_TRUE(Selector.chooseTarget(Start + seconds(1), Trusting).Target);
+  Selector.endAttempt(Start + seconds(1), Stream, DispatchResult::Cancelled);
+}
+
 /// Guards against new requests that return at once to the place that a standby
 /// has just replaced.
 TEST(Dispatcher, TargetOfSupersededAttemptIsSelectedOnlyWithoutOthers) {
