--- a/Tests/LibEntry/TestStandby.cpp
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -326,7 +326,7 @@
                         public ::testing::WithParamInterface<unsigned> {};
 
 TEST_P(StandbyProperty, PassesOnEachEventOnce) {
-  std::mt19937 Random(this->GetParam());
+  std::mt19937 Random(GetParam());
   this->startBoth();
   for (int Step = 0; Step < 12 && !this->IsOver; ++Step) {
     TestEngine &Engine = this->Engines[Random() % 2];
