LibEntry: Look up the prompt last when a standby may start

No caller saw anything; found by the review. Each resumable stream asks every 60 ms whether it needs a standby, and looked its prompt up three times in the guard before the silence was compared, which is almost always too short.

Change: the prompt is looked up once all else allows a standby. What is decided is the same; TestLibEntry passes.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -437,10 +437,13 @@
       .EndpointsPerRequest = this->MatchedRoute->EndpointsPerRequest,
       .RemainingTime = this->remainingTime(),
       .Objective = this->MatchedRoute->Objective,
-      .PauseObjective = this->MatchedRoute->PauseObjective,
-      .IsPromptSound = State.Guard.mayRetry(this->Suspects) &&
-                       State.Guard.findRefusal(this->Suspects).empty() &&
-                       State.Guard.findHold(this->Suspects).empty()};
+      .PauseObjective = this->MatchedRoute->PauseObjective};
+  // Every stream asks all the time, and few get as far as the prompt.
+  if (!shouldStartStandby(Facts))
+    return;
+  Facts.IsPromptSound = State.Guard.mayRetry(this->Suspects) &&
+                        State.Guard.findRefusal(this->Suspects).empty() &&
+                        State.Guard.findHold(this->Suspects).empty();
   RetryBudget &Budget = State.retryBudget(this->TargetService);
   if (!shouldStartStandby(Facts) ||
       !Budget.isAvailable(Now, State.EntryHostCount))
