LibFormation: Form a group anew that stands still for all its hosts

What callers saw: a member that works on one step for seconds holds up all streams of its group and answers probes, so that nobody calls it lost.

Cause: an end was looked for at single engines, and only by questions that a stuck engine answers.

Change: entry hosts report targets from which no event has come for longer than usual. The group is then formed anew of the same engines under its name, which ends the step. Its streams have waited longer than a sound engine is silent, and those that may have a standby have it by then. New line group-stalled.

--- a/Libraries/LibControl/EntrySubscriptions.cpp
+++ b/Libraries/LibControl/EntrySubscriptions.cpp
@@ -161,7 +161,7 @@
   if (!parseMessage(Call, Exchange.message()))
     throw std::runtime_error("the pulse of an entry host cannot be decoded");
   TimePoint Now = monotonicNow();
-  if (this->Coordinator.recordEntryLoad(Now, Call))
+  if (this->Coordinator.recordEntryLoad(Now, Exchange.caller(), Call))
     this->OnStall();
   if (this->Peers.record(Exchange.caller(), Call.failure_domain(),
                          !Call.cut_off()))
--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -50,7 +50,7 @@
   return this->Engines.leave(Id);
 }
 
-bool GroupCoordinator::recordEntryLoad(TimePoint Now,
+bool GroupCoordinator::recordEntryLoad(TimePoint Now, const HostName &Host,
                                        const message::PulseCall &Call) {
   if (Call.loads_size() > 0)
     this->Planner.markTrafficStarted();
@@ -64,6 +64,11 @@
           Now - std::chrono::milliseconds(Load.since_event_ms()));
     if (Load.silent())
       this->FailureDetector.recordStall(Now, Load.place());
+    if (Load.in_flight() == 0 || Call.cut_off())
+      this->Stalls.recordIdle(Load.place(), Host);
+    else if (Found != this->Targets.end())
+      this->Stalls.recordWork(Now, Load.place(), Found->second.Message.epoch(),
+                              Host, Load.standing_still());
   }
   bool HasNewLimit = this->recordLimits(Now, Call);
   return HasStalledTarget || HasNewLimit;
@@ -155,6 +160,19 @@
             {"heard_ms_ago", milliseconds(Now - Record.LastReportAt)}});
 }
 
+void GroupCoordinator::updateStalledGroups(TimePoint Now) {
+  this->Stalls.removeExpired(Now);
+  for (const auto &[Name, Group] : this->Planner.groups()) {
+    if (Group.Phase != GroupPhase::Open ||
+        !this->Stalls.isStandingStill(Now, Name, Group.Epoch))
+      continue;
+    if (this->Planner.markStandingStill(Name, Group.Epoch))
+      logEvent(
+          Severity::Warning, "group-stalled",
+          {{"group", Name}, {"epoch", static_cast<std::int64_t>(Group.Epoch)}});
+  }
+}
+
 EndpointHoldOffs::Endpoint
 GroupCoordinator::endpointOf(const EngineRecord &Record) {
   return {.Name = Record.Report.Id,
@@ -387,6 +405,7 @@
 bool GroupCoordinator::step(TimePoint Now, const Catalog &ActiveCatalog) {
   this->removeExpired(Now);
   this->updateLostEngines(Now);
+  this->updateStalledGroups(Now);
   this->logFleet(Now);
   for (EngineOrder &Order : this->Planner.plan(Now, ActiveCatalog))
     spawnTask(this->Executor, "order", this->sendOrder(std::move(Order)));
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -14,6 +14,7 @@
 #include <LibControl/ControlProtocol.h>
 #include <LibFormation/EngineFailureDetector.h>
 #include <LibFormation/FormationPlanner.h>
+#include <LibFormation/GroupStalls.h>
 #include <LibHTTP/HttpClient.h>
 #include <LibRouting/EndpointHoldOffs.h>
 #include <LibRouting/EngineEndEvidence.h>
@@ -56,7 +57,8 @@
   /// Records the load of an entry host and the state of each target as seen
   /// from there. \returns whether a target is stalled or its limit changed; the
   /// caller should then run the next step at once.
-  bool recordEntryLoad(TimePoint Now, const message::PulseCall &Call);
+  bool recordEntryLoad(TimePoint Now, const HostName &Host,
+                       const message::PulseCall &Call);
 
   /// Starts planning as the leader of \p Term. Before \p ReportsCompleteAt some
   /// engines may not have reported yet.
@@ -89,6 +91,7 @@
 
 private:
   void updateLostEngines(TimePoint Now);
+  void updateStalledGroups(TimePoint Now);
   void recordLoss(TimePoint Now, const EngineRecord &Record,
                   const EngineLoss &Loss);
   void recordRecovery(TimePoint Now, const EngineRecord &Record);
@@ -136,6 +139,7 @@
   std::set<EndpointName> AskedEngines;
   EngineFailureDetector FailureDetector;
   FormationPlanner Planner;
+  GroupStalls Stalls;
   /// Losses of this process by their reason.
   std::map<LossReason, std::uint64_t> LossCounts;
   /// Lost engines that were heard again in the same life.
--- a/Libraries/LibEntry/ControlSubscriber.cpp
+++ b/Libraries/LibEntry/ControlSubscriber.cpp
@@ -293,6 +293,7 @@
     Message.set_since_event_ms(
         Load.TimeSinceEvent ? milliseconds(*Load.TimeSinceEvent) : -1);
     Message.set_silent(Load.Suspected);
+    Message.set_standing_still(Load.Doubted);
   }
   HostName LeaderHost = this->Leader;
   auto Link = this->Links.find(LeaderHost);
--- a/Libraries/LibEntry/Dispatcher.cpp
+++ b/Libraries/LibEntry/Dispatcher.cpp
@@ -490,7 +490,8 @@
     TargetLoad Load{.Name = Name,
                     .InFlight = Record.InFlight,
                     .TimeSinceEvent = {},
-                    .Suspected = Suspected};
+                    .Suspected = Suspected,
+                    .Doubted = this->isDoubted(Now, Record)};
     if (Record.LastEventAt)
       Load.TimeSinceEvent = Now - *Record.LastEventAt;
     Loads.push_back(std::move(Load));
--- a/Libraries/LibEntry/Dispatcher.h
+++ b/Libraries/LibEntry/Dispatcher.h
@@ -253,6 +253,8 @@
     /// Time since the last event from the target; empty if there was none.
     std::optional<Duration> TimeSinceEvent;
     bool Suspected = false;
+    /// No event has come from it for longer than usual.
+    bool Doubted = false;
   };
   /// Targets that have requests in progress, are suspected, or have sent an
   /// event; reported to the control hosts.
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -109,6 +109,11 @@
     this->RecoveredAt[Id] = Now;
 }
 
+bool FormationPlanner::markStandingStill(const GroupName &Name,
+                                         std::uint64_t Epoch) {
+  return std::exchange(this->StandingStill[Name], Epoch) != Epoch;
+}
+
 std::uint64_t FormationPlanner::nextEpoch() { return ++this->LastEpoch; }
 
 void FormationPlanner::enterPhase(TimePoint Now, PlannedGroup &Group,
@@ -223,6 +228,9 @@
     this->advance(Now, *CurrentCatalog.service(Group.Service), Group);
   std::erase_if(this->Groups,
                 [](const auto &Entry) { return Entry.second.Members.empty(); });
+  std::erase_if(this->StandingStill, [&](const auto &Entry) {
+    return !this->Groups.contains(Entry.first);
+  });
   std::erase_if(this->QuarantinedUntil,
                 [&](const auto &Entry) { return Entry.second <= Now; });
   std::erase_if(this->RecoveredAt, [&](const auto &Entry) {
@@ -303,6 +311,9 @@
   if (static_cast<int>(Group.Members.size()) <
       ServiceSpec.Engine->model(Group.Model)->GroupSize)
     return this->repair(Now, ServiceSpec, Group);
+  auto Still = this->StandingStill.find(Group.Name);
+  if (Still != this->StandingStill.end() && Still->second == Group.Epoch)
+    return this->repair(Now, ServiceSpec, Group);
   bool Leaving = false;
   bool Silent = false;
   for (const EndpointName &Id : Group.Members) {
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -127,6 +127,11 @@
     return this->LostEngines.contains(Id);
   }
 
+  /// The group with the member list of \p Epoch stands still. It is formed
+  /// anew, of the same engines if they are usable: this ends the step that
+  /// holds it up. \returns whether that is new.
+  bool markStandingStill(const GroupName &Name, std::uint64_t Epoch);
+
   /// Called when the first requests have arrived. From now on loads from the
   /// weight store take their full time and are limited.
   void markTrafficStarted() { this->TrafficStarted = true; }
@@ -269,6 +274,8 @@
   /// Groups of one engine that are never opened, by engine.
   std::map<EndpointName, PlannedGroup> Reserves;
   std::map<EndpointName, EngineLoss> LostEngines;
+  /// Epochs of the member lists with which groups stand still.
+  std::map<GroupName, std::uint64_t> StandingStill;
   /// When lost engines were found again.
   std::map<EndpointName, TimePoint> RecoveredAt;
   /// Engines that failed to join and aren't used until the given time.
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -61,6 +61,7 @@
       {"engine-lost",
        {"endpoint", "group", "reason", "silent_ms", "heard_by",
         "heard_ms_ago"}},
+      {"group-stalled", {"group", "epoch"}},
       {"engine-found", {"endpoint", "group", "same_life", "heard_ms_ago"}},
       {"order", {"endpoint", "verb", "group", "epoch", "status", "answer"}},
       {"fleet",
--- a/Tests/LibFormation/TestFormationPlanner.cpp
+++ b/Tests/LibFormation/TestFormationPlanner.cpp
@@ -266,6 +266,27 @@
     EXPECT_FALSE(World.Planner->groups().contains(Name)) << Name;
 }
 
+// Guards against a group that one member holds up for seconds while all of them
+// answer, so that nobody calls it broken.
+TEST(FormationPlanner, GroupThatStandsStillIsFormedAnewOfTheSameEngines) {
+  FormationWorld World;
+  startService(World);
+  EndpointName Member = World.anyMemberExceptHead("large");
+  GroupName Name = World.Engines.at(Member).Report.Group->Group;
+  PlannedGroup Before = World.Planner->groups().at(Name);
+  EXPECT_TRUE(World.Planner->markStandingStill(Name, Before.Epoch));
+  EXPECT_FALSE(World.Planner->markStandingStill(Name, Before.Epoch));
+  World.run(seconds(3));
+  const PlannedGroup &After = World.Planner->groups().at(Name);
+  EXPECT_EQ(After.Phase, GroupPhase::Open);
+  EXPECT_EQ(After.Members, Before.Members);
+  EXPECT_GT(After.Epoch, Before.Epoch);
+  // The finding holds for the old member list only.
+  World.run(seconds(3));
+  EXPECT_EQ(World.Planner->groups().at(Name).Epoch, After.Epoch);
+  EXPECT_TRUE(World.violations().empty());
+}
+
 TEST(FormationPlanner, ReconnectedEngineLeavesItsOldGroupFirst) {
   FormationWorld World;
   startService(World);
