LibControl: Pass a loss on again when a silent engine refuses connections

An engine that was lost by silence and then refused connections kept its group Silent, and its target Stalled, until the registry forgot it 30 s after its last report: the coordinator told the planner of a loss only if the engine wasn't lost, so that the planner never learned of the refusal.

The planner itself now says whether a loss is news: of an engine that wasn't lost, or that was only silent and now refuses.

--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -110,11 +110,12 @@
       this->FailureDetector.lostEngines(Now);
   for (const auto &[Id, Record] : this->Engines.all()) {
     auto Found = Lost.find(Id);
-    bool WasLost = this->Planner.isLost(Id);
-    if (Found != Lost.end() && !WasLost)
+    if (Found == Lost.end()) {
+      if (this->Planner.isLost(Id))
+        this->recordRecovery(Now, Record);
+    } else if (this->Planner.markEngineLost(Id, Found->second)) {
       this->recordLoss(Now, Record, Found->second);
-    else if (Found == Lost.end() && WasLost)
-      this->recordRecovery(Now, Record);
+    }
   }
   std::erase_if(this->LostLives, [&](const auto &Entry) {
     return this->Engines.find(Entry.first) == nullptr;
@@ -128,7 +129,6 @@
 void GroupCoordinator::recordLoss(TimePoint Now, const EngineRecord &Record,
                                   const EngineLoss &Loss) {
   const EndpointName &Id = Record.Report.Id;
-  this->Planner.markEngineLost(Id, Loss);
   this->LostLives[Id] = Record.Report.StartedAtMs;
   ++this->LossCounts[Loss.Reason];
   logEvent(Severity::Info, "engine-lost",
--- a/Libraries/LibFormation/FormationPlanner.cpp
+++ b/Libraries/LibFormation/FormationPlanner.cpp
@@ -96,12 +96,14 @@
   this->Groups[Name] = std::move(Group);
 }
 
-void FormationPlanner::markEngineLost(const EndpointName &Id,
+bool FormationPlanner::markEngineLost(const EndpointName &Id,
                                       const EngineLoss &Loss) {
   auto [Known, IsNew] = this->LostEngines.try_emplace(Id, Loss);
   // Silence doesn't take back a refusal.
-  if (!IsNew && Loss.Reason == LossReason::Refused)
-    Known->second = Loss;
+  if (IsNew || Loss.Reason != LossReason::Refused)
+    return IsNew;
+  LossReason Before = std::exchange(Known->second, Loss).Reason;
+  return Before != LossReason::Refused;
 }
 
 void FormationPlanner::markEngineFound(TimePoint Now, const EndpointName &Id) {
--- a/Libraries/LibFormation/FormationPlanner.h
+++ b/Libraries/LibFormation/FormationPlanner.h
@@ -120,8 +120,9 @@
     return Now >= this->TakeoverEndsAt;
   }
 
-  /// Marks an engine as lost until markEngineFound().
-  void markEngineLost(const EndpointName &Id, const EngineLoss &Loss);
+  /// Marks an engine as lost until markEngineFound(). \returns whether it
+  /// wasn't lost, or only silent and now refuses connections.
+  bool markEngineLost(const EndpointName &Id, const EngineLoss &Loss);
   void markEngineFound(TimePoint Now, const EndpointName &Id);
   [[nodiscard]] bool isLost(const EndpointName &Id) const {
     return this->LostEngines.contains(Id);
--- a/Tests/LibFormation/TestFormationPlanner.cpp
+++ b/Tests/LibFormation/TestFormationPlanner.cpp
@@ -228,6 +228,20 @@
   EXPECT_TRUE(World.violations().empty());
 }
 
+// Guards against a refusal that is not passed on because the engine was lost by
+// silence before.
+TEST(FormationPlanner, LossIsNewsWhenItsReasonBecomesARefusal) {
+  FormationWorld World;
+  EngineLoss Silent;
+  EngineLoss Refused;
+  Refused.Reason = LossReason::Refused;
+  EXPECT_TRUE(World.Planner->markEngineLost("x", Silent));
+  EXPECT_FALSE(World.Planner->markEngineLost("x", Silent));
+  EXPECT_TRUE(World.Planner->markEngineLost("x", Refused));
+  EXPECT_FALSE(World.Planner->markEngineLost("x", Refused));
+  EXPECT_FALSE(World.Planner->markEngineLost("x", Silent));
+}
+
 // Guards against a group that is kept although one of its silent members is
 // known to have ended.
 TEST(FormationPlanner, RefusalOfOneMemberBreaksASilentGroup) {
