LibFormation: Let no late heartbeat take back a refused connection

Heartbeats may come seconds late, also after the crash of their sender. One that arrived after a refused connection took the loss back: the engine counted as sound, and its group as whole, until the next probe was refused.

What takes a refusal back is an answer to a later probe, or a report of another life than the one that was asked. A report of the same life is a reason to ask again at once instead of after LostProbeInterval, also while the group makes progress. A refusal of the life before is also no loss of the one that reported while the probe was under way.

HeartbeatClearsALostEngine stated the fault: it expected a report of the same life to clear a refusal. HeartbeatClearsASilentEngine keeps what it says for silence; LateHeartbeatOnlyAsksARefusedEngineAgain asks for the probe at once, no second one, and the answer that decides; two more tests are about other lives. In the drawn histories reports are now late or wait for the halted leader one by one, and engines come back in another life: RefusalHoldsUntilTheEngineIsBack asks that no report takes the loss back before, and that the new life is found within a heartbeat and two ticks.

--- a/Libraries/LibFormation/EngineFailureDetector.cpp
+++ b/Libraries/LibFormation/EngineFailureDetector.cpp
@@ -91,14 +91,21 @@
   return Heard;
 }
 
+bool EngineFailureDetector::isRefused(const Contact &State) {
+  return State.Loss && State.Loss->Reason == LossReason::Refused;
+}
+
 void EngineFailureDetector::update(const EngineRecord &Record,
                                    Contact &State) const {
-  // Other members may finish an event after one has ended.
-  bool IsRefused = State.Loss && State.Loss->Reason == LossReason::Refused;
-  TimePoint HeardAt =
-      IsRefused ? Record.LastReportAt : this->lastHeard(Record, State).first;
-  if (!State.SilentSince || HeardAt <= *State.SilentSince)
+  if (isRefused(State)) {
+    // What the life that refused has sent may arrive after its end, and other
+    // members may finish an event after it.
+    if (Record.Report.StartedAtMs == State.AskedLife)
+      return;
+  } else if (!State.SilentSince ||
+             this->lastHeard(Record, State).first <= *State.SilentSince) {
     return;
+  }
   State.SilentSince.reset();
   State.Loss.reset();
 }
@@ -132,8 +139,10 @@
       Stalled = Found != this->LastStall.end() &&
                 Now - Found->second < this->Options.ProbeInterval;
     }
+    // Only an answer, or another life, shows that one that refused is sound.
+    bool Refused = isRefused(State);
     if ((!Overdue && !Stalled && !State.SilentSince) ||
-        this->hasRecentProgress(Now, Record) || State.Waiting)
+        (!Refused && this->hasRecentProgress(Now, Record)) || State.Waiting)
       continue;
     Duration Interval = State.Loss ? this->Options.LostProbeInterval
                                    : this->Options.ProbeInterval;
@@ -145,9 +154,11 @@
           (DueAt > LastDueAt || Now + this->Options.ProbeTimeout > LastDueAt))
         DueAt = LastDueAt;
     }
-    if (Now < DueAt)
+    bool Reported = Refused && Record.LastReportAt > State.AskedAt;
+    if (Now < DueAt && !Reported)
       continue;
     State.AskedAt = Now;
+    State.AskedLife = Record.Report.StartedAtMs;
     State.Waiting = true;
     State.Void = false;
     EnginesDue.push_back(Id);
--- a/Libraries/LibFormation/EngineFailureDetector.h
+++ b/Libraries/LibFormation/EngineFailureDetector.h
@@ -5,7 +5,10 @@
 /// from the engine's group have stalled, lead to a probe of the engine. One
 /// that refuses the connection is lost at once. One that doesn't answer is in
 /// doubt: it is probed again, and is lost once it was silent for EndingSilence.
-/// A report, an answer or progress of its group ends the doubt.
+/// A report, an answer or progress of its group ends the doubt. A refusal is
+/// taken back only by an answer to a later probe or by a report of another
+/// life: reports may arrive after the end of their sender, and lead to a probe
+/// at once.
 ///
 /// Silence is evidence only while this process can hear. Time in which it
 /// stood still doesn't count, and silence of most engines at once is more
@@ -119,8 +122,9 @@
 private:
   /// What is known of one engine beside its reports.
   struct Contact {
-    /// When the last probe was sent.
+    /// When the last probe was sent, and the life reported by then.
     TimePoint AskedAt;
+    std::int64_t AskedLife = 0;
     bool Waiting = false;
     /// This process stood still while the probe was waiting.
     bool Void = false;
@@ -144,6 +148,7 @@
   /// \returns when and by what the engine was last heard.
   [[nodiscard]] std::pair<TimePoint, SignOfLife>
   lastHeard(const EngineRecord &Record, const Contact &State) const;
+  [[nodiscard]] static bool isRefused(const Contact &State);
   /// Ends the doubt about an engine that was heard since.
   void update(const EngineRecord &Record, Contact &State) const;
   /// Takes the time in which this process stood still off all silences.
--- a/Tests/LibFormation/TestEngineFailureDetector.cpp
+++ b/Tests/LibFormation/TestEngineFailureDetector.cpp
@@ -27,11 +27,13 @@
     this->receiveReport("two", 7);
   }
 
-  void receiveReport(const EndpointName &Id, std::uint64_t Epoch) {
+  void receiveReport(const EndpointName &Id, std::uint64_t Epoch,
+                     std::int64_t Life = 0) {
     this->Engines.accept(
         this->Now, {.Id = Id,
                     .Address = Id,
                     .Service = "sheets",
+                    .StartedAtMs = Life,
                     .Sequence = ++this->Sequence,
                     .Group = GroupMembership{.Group = "g",
                                              .Epoch = Epoch,
@@ -214,19 +216,67 @@
   EXPECT_EQ(this->lost(), std::set<EndpointName>{"one"});
 }
 
-TEST_F(EngineFailureDetectorTest, HeartbeatClearsALostEngine) {
-  this->Now += seconds(3);
-  this->Detector.probeRefused(this->Now, "one");
-  EXPECT_EQ(this->lost(), std::set<EndpointName>{"one"});
+TEST_F(EngineFailureDetectorTest, HeartbeatClearsASilentEngine) {
+  EXPECT_EQ(this->run(seconds(6), {"one"}), std::set<EndpointName>{"one"});
   this->Now += Milliseconds(10);
   this->receiveReport("one", 7);
   EXPECT_TRUE(this->lost().empty());
 }
 
+// Guards against a heartbeat that arrives after the end of its sender and takes
+// back the refused connection that showed this end.
+TEST_F(EngineFailureDetectorTest, LateHeartbeatOnlyAsksARefusedEngineAgain) {
+  const std::vector<EndpointName> One = {"one"};
+  this->Now += seconds(1);
+  this->receiveReport("two", 7);
+  this->Now += Milliseconds(700);
+  ASSERT_EQ(this->Detector.enginesToProbe(this->Now), One);
+  this->Detector.probeRefused(this->Now, "one");
+  for (int I = 0; I < 3; ++I) {
+    this->Now += Milliseconds(100);
+    this->receiveReport("one", 7);
+    this->receiveReport("two", 7);
+    this->Detector.recordProgress("g", 7, this->Now);
+    EXPECT_EQ(this->lost(), std::set<EndpointName>{"one"});
+    EXPECT_EQ(this->Detector.enginesToProbe(this->Now), One);
+    EXPECT_TRUE(this->Detector.enginesToProbe(this->Now).empty());
+    this->Detector.probeRefused(this->Now, "one");
+    EXPECT_TRUE(this->Detector.enginesToProbe(this->Now).empty());
+    EXPECT_EQ(this->lost(), std::set<EndpointName>{"one"});
+  }
+  this->Now += Milliseconds(100);
+  this->receiveReport("one", 7);
+  EXPECT_EQ(this->Detector.enginesToProbe(this->Now), One);
+  this->Detector.probeAnswered(this->Now, "one");
+  EXPECT_TRUE(this->lost().empty());
+}
+
+TEST_F(EngineFailureDetectorTest, HeartbeatOfAnotherLifeClearsARefusedEngine) {
+  this->Now += Milliseconds(1700);
+  this->receiveReport("two", 7);
+  ASSERT_EQ(this->Detector.enginesToProbe(this->Now).size(), 1U);
+  this->Detector.probeRefused(this->Now, "one");
+  EXPECT_EQ(this->lost(), std::set<EndpointName>{"one"});
+  this->receiveReport("one", 7, 1);
+  EXPECT_TRUE(this->lost().empty());
+}
+
+// Guards against a new life that is called lost for the refusal of the one
+// before.
+TEST_F(EngineFailureDetectorTest, RefusalOfAnEarlierLifeIsNoneOfTheNext) {
+  this->Now += Milliseconds(1700);
+  this->receiveReport("two", 7);
+  ASSERT_EQ(this->Detector.enginesToProbe(this->Now).size(), 1U);
+  this->receiveReport("one", 7, 1);
+  this->Detector.probeRefused(this->Now, "one");
+  EXPECT_TRUE(this->lost().empty());
+}
+
 namespace {
 
-/// Engines that report, fall silent, end and refuse, and a leader that stands
-/// still at times. The clock runs in steps of the leader's tick.
+/// Engines that report, fall silent, end, refuse and come back in another life,
+/// and a leader that stands still at times. Reports may take long. The clock
+/// runs in steps of the leader's tick.
 class DrawnHistory {
 public:
   static constexpr auto Tick = Milliseconds(100);
@@ -246,12 +296,21 @@
     /// When it ends, and whether its host then refuses connections.
     TimePoint EndsAt = TimePoint::max();
     bool Refuses = false;
+    /// When it is back in another life.
+    TimePoint BackAt = TimePoint::max();
     Duration AnswerTime{};
+    /// How long the reports take that its first life sends from a time on.
+    TimePoint SlowFrom = TimePoint::max();
+    Duration ReportDelay{};
     std::uint64_t Sequence = 0;
   };
 
+  [[nodiscard]] static bool hasEnded(const Engine &Each, TimePoint At) {
+    return At >= Each.EndsAt && At < Each.BackAt;
+  }
+
   [[nodiscard]] static bool isSilent(const Engine &Each, TimePoint At) {
-    return At >= Each.EndsAt ||
+    return hasEnded(Each, At) ||
            std::ranges::any_of(Each.Silences, [&](const auto &Silence) {
              return At >= Silence.first && At < Silence.second;
            });
@@ -263,11 +322,14 @@
       return this->Now >= Halt.first && this->Now < Halt.second;
     });
     for (auto &[Id, Each] : this->Engines)
-      this->advance(Id, Each, Halted);
+      this->advance(Id, Each);
     if (Halted)
       return;
-    for (const auto &[Id, Report] : std::exchange(this->Queued, {}))
-      this->receive(Id);
+    for (auto &[DueAt, Report] : std::exchange(this->OnTheWay, {}))
+      if (DueAt <= this->Now)
+        this->Registry.accept(this->Now, Report);
+      else
+        this->OnTheWay.emplace(DueAt, Report);
     // Timers of probes come first, as if their answers had been late.
     for (auto &[Id, Ask] : std::exchange(this->Asked, {}))
       if (!this->finish(Id, Ask))
@@ -283,31 +345,27 @@
   std::map<EndpointName, EngineLoss> Lost;
 
 private:
-  void advance(const EndpointName &Id, Engine &Each, bool Halted) {
+  void advance(const EndpointName &Id, Engine &Each) {
     if (this->Now < Each.NextReportAt)
       return;
     Each.NextReportAt += ReportInterval;
     if (isSilent(Each, this->Now))
       return;
     Each.LastReportAt = this->Now;
-    if (Halted)
-      this->Queued[Id] = true;
-    else
-      this->receive(Id);
-  }
-
-  void receive(const EndpointName &Id) {
-    this->Registry.accept(this->Now,
-                          {.Id = Id,
-                           .Address = Id,
-                           .Service = "sheets",
-                           .Sequence = ++this->Engines.at(Id).Sequence});
+    bool IsBack = this->Now >= Each.BackAt;
+    bool IsSlow = !IsBack && this->Now >= Each.SlowFrom;
+    this->OnTheWay.emplace(IsSlow ? this->Now + Each.ReportDelay : this->Now,
+                           EngineReport{.Id = Id,
+                                        .Address = Id,
+                                        .Service = "sheets",
+                                        .StartedAtMs = IsBack ? 1 : 0,
+                                        .Sequence = ++Each.Sequence});
   }
 
   /// \returns whether the probe that was sent at \p AskedAt has ended.
   bool finish(const EndpointName &Id, TimePoint AskedAt) {
     const Engine &Each = this->Engines.at(Id);
-    if (AskedAt >= Each.EndsAt && Each.Refuses)
+    if (hasEnded(Each, AskedAt) && Each.Refuses)
       this->Detector.probeRefused(this->Now, Id);
     else if (this->Now - AskedAt >= SilenceMargin)
       this->Detector.probeUnanswered(this->Now, Id);
@@ -320,7 +378,8 @@
 
   EngineRegistry Registry;
   EngineFailureDetector Detector{{}, this->Registry};
-  std::map<EndpointName, bool> Queued;
+  /// By the time of their arrival.
+  std::multimap<TimePoint, EngineReport> OnTheWay;
   std::map<EndpointName, TimePoint> Asked;
 };
 
@@ -397,3 +456,34 @@
   RC_ASSERT(History.Lost.size() == 1U);
   RC_ASSERT(History.Lost.contains("engine-0"));
 }
+
+// Guards against reports that arrive after the end of their sender and take
+// back its loss, and against another life that is found late.
+RC_GTEST_PROP(EngineFailureDetector, RefusalHoldsUntilTheEngineIsBack, ()) {
+  DrawnHistory History;
+  auto DrawTime = [](int From, int To) {
+    return Milliseconds(100 * *rc::gen::inRange(From / 100, To / 100 + 1));
+  };
+  const TimePoint Start = History.Now;
+  for (int I = 0; I < 5; ++I)
+    History.Engines["engine-" + std::to_string(I)].NextReportAt =
+        Start + DrawTime(0, 1200);
+  auto &Ended = History.Engines.at("engine-0");
+  Ended.EndsAt = Start + DrawTime(1300, 5000);
+  Ended.Refuses = true;
+  Ended.SlowFrom = Ended.EndsAt - DrawTime(0, 4000);
+  Ended.ReportDelay = DrawTime(0, 8000);
+  Ended.BackAt = Ended.EndsAt + DrawTime(2000, 12000);
+  bool WasLost = false;
+  while (History.Now < Ended.BackAt) {
+    History.step();
+    bool IsLost = History.Lost.contains("engine-0");
+    RC_ASSERT(History.Lost.size() == (IsLost ? 1U : 0U));
+    RC_ASSERT(IsLost || !WasLost || History.Now >= Ended.BackAt);
+    WasLost = IsLost;
+  }
+  while (History.Now <
+         Ended.BackAt + DrawnHistory::ReportInterval + 2 * DrawnHistory::Tick)
+    History.step();
+  RC_ASSERT(History.Lost.empty());
+}
