--- a/Tests/LibControl/TestGroupCoordinator.cpp
+++ b/Tests/LibControl/TestGroupCoordinator.cpp
@@ -46,6 +46,10 @@
   readPause(const HttpResponseHead & /*Answer*/) const override {
     return {};
   }
+  [[nodiscard]] std::optional<Incarnation>
+  readLife(std::string_view /*Body*/) const override {
+    return {};
+  }
   [[nodiscard]] HttpRequest makeProbeRequest() const override {
     return {.Method = "GET", .Target = "/"};
   }
