LibRouting: Let only the life that crashed take its crash back

A prompt that ends engines was never refused where engines start again under their ids within a second: the next life's answer took each crash back.

Cause: EngineEndEvidence counted every complete answer to a call that was sent after the last report. Neither it nor GroupCoordinator compared lives, although engines state theirs (`born`) in all that they say of themselves.

An answer counts now only if it states the life that the leader knows, and if the leader knew that life before the first of the lost requests was sent. Answers that state none, as those to orders, count only as the end of requests that an order brought. The cost: a leader that has heard of a life only after the lost requests began takes nothing back by its answers.

OnlyTheLifeThatLostTheRequestsTakesItsCrashBack and EnginesThatAreStartedAgainTakeNoCrashBack (4 disproved, nothing refused) failed with the condition removed and pass with it, as do TestLibControl and TestPlatform. The answers in the older tests now state the life that had run all the time, which is what these tests are about.

--- a/Libraries/LibControl/ControlProtocol.h
+++ b/Libraries/LibControl/ControlProtocol.h
@@ -63,6 +63,9 @@
   /// The pause that an answer to an order or a probe asks for; zero if none.
   [[nodiscard]] virtual Duration
   readPause(const HttpResponseHead &Answer) const = 0;
+  /// The life that the body of an engine's answer states; nothing if none.
+  [[nodiscard]] virtual std::optional<Incarnation>
+  readLife(std::string_view Body) const = 0;
   /// A request that every running engine answers; used to probe engines.
   [[nodiscard]] virtual HttpRequest makeProbeRequest() const = 0;
 };
--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -172,19 +172,24 @@
 }
 
 void GroupCoordinator::recordAnswer(TimePoint SentAt, const EndpointName &Id,
-                                    const HttpResponseHead &Answer,
+                                    const HttpFetchResult &Answer,
                                     bool EndsRequests) {
+  const EngineRecord *Record = this->Engines.find(Id);
   if (this->AnswerHandler) {
     EngineAnswer Evidence{.Engine = Id,
                           .SentAt = SentAt,
                           .AnsweredAt = monotonicNow(),
                           .EndsRequests = EndsRequests};
+    Evidence.StatedLife = this->Protocol.readLife(Answer.Body);
+    if (Record != nullptr) {
+      Evidence.KnownLife = static_cast<Incarnation>(Record->Report.StartedAtMs);
+      Evidence.KnownSince = Record->FirstReportAt;
+    }
     this->AnswerHandler(Evidence);
   }
-  const EngineRecord *Record = this->Engines.find(Id);
   if (Record == nullptr)
     return;
-  Duration Pause = this->Protocol.readPause(Answer);
+  Duration Pause = this->Protocol.readPause(Answer.Head);
   // Only the leader sends orders, so there is nothing to spread.
   if (Pause > Duration::zero())
     this->HoldOffs.recordPause(monotonicNow(), endpointOf(*Record), Pause, 0);
@@ -235,7 +240,7 @@
   if (Answer.ConnectionRefused && this->RefusalHandler)
     this->RefusalHandler(Id, SentAt);
   if (Answer.Outcome == HttpCallOutcome::Complete)
-    this->recordAnswer(SentAt, Id, Answer.Head);
+    this->recordAnswer(SentAt, Id, Answer);
 }
 
 asio::awaitable<void> GroupCoordinator::probeEngine(EndpointName Id,
@@ -262,7 +267,7 @@
   if (Answer.Outcome != HttpCallOutcome::Complete)
     co_return this->FailureDetector.probeUnanswered(monotonicNow(), Id);
   this->FailureDetector.probeAnswered(monotonicNow(), Id);
-  this->recordAnswer(SentAt, Id, Answer.Head);
+  this->recordAnswer(SentAt, Id, Answer);
 }
 
 void GroupCoordinator::recordLimit(const EndpointName &Id,
@@ -325,7 +330,7 @@
   OrderResult Result = OrderResult::Unanswered;
   if (Answer.Outcome == HttpCallOutcome::Complete) {
     Result = this->Protocol.readOrderResult(Answer.Head.Status);
-    this->recordAnswer(SentAt, Order.Recipient, Answer.Head,
+    this->recordAnswer(SentAt, Order.Recipient, Answer,
                        EndsRequests && Result == OrderResult::Accepted);
   }
   logEvent(Severity::Info, "order",
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -100,7 +100,7 @@
   [[nodiscard]] bool maySend(TimePoint Now, const EndpointName &Id);
   /// Takes note of a pause that an answer of \p Id asks for.
   void recordAnswer(TimePoint SentAt, const EndpointName &Id,
-                    const HttpResponseHead &Answer, bool EndsRequests = false);
+                    const HttpFetchResult &Answer, bool EndsRequests = false);
   void logFleet(TimePoint Now);
   void probe(const EndpointName &Id);
   boost::asio::awaitable<void> probeEngine(EndpointName Id,
--- a/Libraries/LibRouting/EngineEndEvidence.cpp
+++ b/Libraries/LibRouting/EngineEndEvidence.cpp
@@ -11,7 +11,9 @@
   if (Answer.EndsRequests)
     this->Orders[Answer.Engine].push_back(Answer);
   auto Found = this->Reports.find(Answer.Engine);
-  return Found != this->Reports.end() && Answer.SentAt > Found->second.At;
+  return Found != this->Reports.end() && Answer.SentAt > Found->second.At &&
+         Answer.StatedLife && Answer.StatedLife == Answer.KnownLife &&
+         Answer.KnownSince <= Found->second.BeganAt;
 }
 
 void EngineEndEvidence::recordRefused(const EndpointName &Engine,
@@ -34,14 +36,17 @@
   });
   if (Report.Prompts.empty())
     return ReportVerdict::EndedByOrder;
-  Reported &Known =
-      this->Reports
-          .try_emplace(Report.Engine, Reported{.At = Now, .LostAt = Report.At})
-          .first->second;
+  const Reported New{.At = Now,
+                     .LostAt = Report.At,
+                     .BeganAt = std::ranges::min_element(
+                                    Report.Prompts, {}, &SuspectPrompt::BeganAt)
+                                    ->BeganAt};
+  Reported &Known = this->Reports.try_emplace(Report.Engine, New).first->second;
   if (Report.At >= Known.LostAt + this->Options.RestartTime)
-    Known = {.At = Now, .LostAt = Report.At};
+    Known = New;
   Known.At = Now;
-  Known.LostAt = std::min(Known.LostAt, Report.At);
+  Known.LostAt = std::min(Known.LostAt, New.LostAt);
+  Known.BeganAt = std::min(Known.BeganAt, New.BeganAt);
   this->Questions.insert(Report.Engine);
   return ReportVerdict::Counts;
 }
--- a/Libraries/LibRouting/EngineEndEvidence.h
+++ b/Libraries/LibRouting/EngineEndEvidence.h
@@ -3,11 +3,12 @@
 /// \file
 /// Tells crashes of engines from other ends of their connections. An engine
 /// that is ordered to join another group or to leave its group ends the
-/// requests in progress on it and goes on, and one that answers a call which
-/// was sent after all reports of its crash has not crashed. One that refuses a
-/// connection had ended before, so that no prompt which began later is the
-/// cause. The leading control host sends these calls, and asks engines that are
-/// reported.
+/// requests in progress on it and goes on. One that answers a call which was
+/// sent after all reports of its crash has not crashed, if it shows the life
+/// that the lost requests were sent to: its next life answers at the same
+/// address. One that refuses a connection had ended before, so that no prompt
+/// which began later is the cause. The leading control host sends these calls,
+/// and asks engines that are reported.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -17,6 +18,7 @@
 #include <LibCore/Silence.h>
 #include <LibRouting/CrashReport.h>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -40,6 +42,11 @@
   TimePoint AnsweredAt = {};
   /// The call was an order that ended the requests in progress.
   bool EndsRequests = false;
+  /// The life of the engine that the answer states.
+  std::optional<Incarnation> StatedLife = {};
+  /// The life that the control host knows by then, and since when.
+  std::optional<Incarnation> KnownLife = {};
+  TimePoint KnownSince = TimePoint::max();
 };
 
 /// Whether a report counts as evidence on its prompts, and if not, why.
@@ -57,7 +64,8 @@
       : Options(Options) {}
 
   /// \returns whether the engine goes on after all crashes of it that were
-  /// reported: the call was sent after the reports, and these after the losses.
+  /// reported: the call was sent after the reports, and these after the losses,
+  /// and the life that answers was known before the lost requests were sent.
   bool recordAnswer(const EngineAnswer &Answer);
   /// A connection of this host to \p Engine, begun at \p SentAt, was refused.
   void recordRefused(const EndpointName &Engine, TimePoint SentAt);
@@ -87,6 +95,8 @@
     TimePoint At;
     /// The first loss of its last crash.
     TimePoint LostAt;
+    /// When the first of the requests that it ended was sent.
+    TimePoint BeganAt;
     /// From when on it refused connections after that loss.
     TimePoint RefusedAt = TimePoint::max();
   };
--- a/Tests/LibControl/TestPromptRefusals.cpp
+++ b/Tests/LibControl/TestPromptRefusals.cpp
@@ -76,12 +76,37 @@
     Refusals.recordEngineAnswer(
         {.Engine = Engine,
          .SentAt = Now + std::chrono::milliseconds(50),
-         .AnsweredAt = Now + std::chrono::milliseconds(55)});
+         .AnsweredAt = Now + std::chrono::milliseconds(55),
+         .StatedLife = 17,
+         .KnownLife = 17,
+         .KnownSince = Start - minutes(1)});
   }
   EXPECT_FALSE(Refusals.nextCommand(Start + seconds(7)));
   EXPECT_EQ(Refusals.disproved(), 6U);
 }
 
+/// Engines that were started again under their ids answered within a second,
+/// and the prompt that had ended them was never refused.
+TEST(PromptRefusals, EnginesThatAreStartedAgainTakeNoCrashBack) {
+  PromptRefusals Refusals;
+  for (int I = 0; I < 4; ++I) {
+    TimePoint Now = Start + I * seconds(1);
+    std::string Engine = "engine-" + std::to_string(I);
+    Refusals.recordPulse(Now, crashReport(Engine, static_cast<PromptPart>(I)));
+    Refusals.recordEngineAnswer(
+        {.Engine = Engine,
+         .SentAt = Now + std::chrono::milliseconds(900),
+         .AnsweredAt = Now + std::chrono::milliseconds(905),
+         .StatedLife = 18,
+         .KnownLife = 18,
+         .KnownSince = Now + std::chrono::milliseconds(800)});
+  }
+  EXPECT_EQ(Refusals.disproved(), 0U);
+  auto Command = Refusals.nextCommand(Start + seconds(4));
+  ASSERT_TRUE(Command);
+  EXPECT_EQ(formatParts(Command->refuse_prompt()), "bad");
+}
+
 TEST(PromptRefusals, AnAnswerOfARefusedPromptLiftsIt) {
   PromptRefusals Refusals;
   message::RegisterState State;
--- a/Tests/LibRouting/TestEngineEndEvidence.cpp
+++ b/Tests/LibRouting/TestEngineEndEvidence.cpp
@@ -29,9 +29,14 @@
           .EndsRequests = true};
 }
 
-static EngineAnswer answer(int SentMs) {
-  return {
-      .Engine = "engine", .SentAt = at(SentMs), .AnsweredAt = at(SentMs + 5)};
+/// The answer of an engine in a life that has been known since \p KnownMs.
+static EngineAnswer answer(int SentMs, int KnownMs = 0) {
+  return {.Engine = "engine",
+          .SentAt = at(SentMs),
+          .AnsweredAt = at(SentMs + 5),
+          .StatedLife = 17,
+          .KnownLife = 17,
+          .KnownSince = at(KnownMs)};
 }
 
 /// An engine that was ordered to leave its group closed its connections, and
@@ -88,6 +93,26 @@
   EXPECT_TRUE(Evidence.recordAnswer(answer(1150)));
 }
 
+/// The next life of an engine took its crash back: it answered under the same
+/// id at the same address.
+TEST(EngineEndEvidence, OnlyTheLifeThatLostTheRequestsTakesItsCrashBack) {
+  EngineEndEvidence Evidence;
+  CrashReport Report = report(1000, 200);
+  Report.Prompts.push_back({.Parts = {2}, .BeganAt = at(900)});
+  EXPECT_EQ(Evidence.recordReport(at(1110), Report), ReportVerdict::Counts);
+  EngineAnswer Unknown = answer(1500);
+  Unknown.StatedLife = 18;
+  EXPECT_FALSE(Evidence.recordAnswer(Unknown)) << "its heartbeat is to come";
+  EngineAnswer Nameless = answer(1500);
+  Nameless.StatedLife.reset();
+  EXPECT_FALSE(Evidence.recordAnswer(Nameless));
+  Nameless.KnownLife.reset();
+  EXPECT_FALSE(Evidence.recordAnswer(Nameless)) << "nothing is known at all";
+  EXPECT_FALSE(Evidence.recordAnswer(answer(1500, 1300))) << "known since then";
+  EXPECT_FALSE(Evidence.recordAnswer(answer(1500, 500))) << "one ran before";
+  EXPECT_TRUE(Evidence.recordAnswer(answer(1500, 199)));
+}
+
 /// A host loses one connection by chance, and the others some time later in a
 /// crash; it reports the time of the first one.
 TEST(EngineEndEvidence, AnswerToACallFromBeforeTheReportShowsNothing) {
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -273,6 +273,18 @@
   EXPECT_EQ(EngineProtocol().readPause(Busy), Duration::zero());
 }
 
+// Guards against a new start of an engine that is taken for the life before.
+TEST(EngineProtocol, ReadsTheLifeThatAnAnswerStates) {
+  EngineProtocol Protocol;
+  EXPECT_EQ(Protocol.readLife(R"({"phase":"colocated","born":17,"seq":2})"),
+            Incarnation(17));
+  for (const char *Text :
+       {"", "17", "[17]", R"({"seq":2})", R"({"group":{"born":17}})",
+        R"({"born":"17"})", R"({"born":17.5})", R"({"born":-1})",
+        R"({"born":null})", R"({"born":17)"})
+    EXPECT_FALSE(Protocol.readLife(Text)) << Text;
+}
+
 TEST(CallProtocol, RecognizesRequestsThatDidNotRun) {
   CallProtocol Protocol;
   HttpResponseHead Full{.Status = 503};
