LibEntry: Hand a silent probe on as soon as a peer can take it

Cause: probes of a cut-off host waited EndingSilence for their engine before they were handed on, and then had little time left.

Change: a probe that may repeat is handed on after 500 ms again, but only if its repeat is certain: an entry host that reaches engines is known and the route allows another run. All others wait for their engine, so that no answer ends by a guess.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -2,7 +2,6 @@
 
 #include <LibEntry/CallerSession.h>
 
-#include <LibCore/Silence.h>
 #include <LibCore/StringStorage.h>
 #include <LibEntry/AnswerHoldOff.h>
 #include <LibEntry/StallRule.h>
@@ -24,6 +23,9 @@
 /// A reachable endpoint accepts a connection within a few milliseconds.
 static constexpr auto ConnectTimeout = std::chrono::milliseconds(400);
 static constexpr auto ProbeConnectTimeout = std::chrono::milliseconds(100);
+/// A probe that gets no answer by its time objective, and by this time, is
+/// handed on to an entry host that reaches engines, if there is one.
+static constexpr auto ProbeHeadTimeout = std::chrono::milliseconds(500);
 /// No attempt is started with less time left: no endpoint could answer.
 static constexpr auto MinAttemptTime = std::chrono::milliseconds(20);
 /// Between two looks for a place of a request that waits for its repeat.
@@ -404,6 +406,12 @@
   return MayTry ? Peer : std::nullopt;
 }
 
+bool CallerSession::canHandOn() const {
+  return !this->IsForwarded && this->MatchedRoute->isSafeToRetry() &&
+         this->PossibleRuns + 1 < this->MatchedRoute->EndpointsPerRequest &&
+         this->Context.State.Peers.choose(this->TriedPeers);
+}
+
 void CallerSession::countRequest() {
   if (!std::exchange(this->IsCounted, true))
     this->Context.State.retryBudget(this->TargetService)
@@ -580,11 +588,10 @@
       std::min<Duration>(this->IsProbe ? ProbeConnectTimeout : ConnectTimeout,
                          this->remainingTime());
   Options.HeadTimeout = this->remainingTime();
-  // What must not repeat waits for its engine.
-  if (this->IsProbe && this->MatchedRoute->isSafeToRetry())
+  if (this->IsProbe && this->canHandOn())
     Options.HeadTimeout = std::min(
         Options.HeadTimeout,
-        std::max<Duration>(this->MatchedRoute->Objective, EndingSilence));
+        std::max<Duration>(this->MatchedRoute->Objective, ProbeHeadTimeout));
   Options.ChunkTimeout = this->remainingTime();
   Options.FreshConnection = !this->MatchedRoute->isSafeToRetry();
   Options.CompleteOnClose = true;
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -95,6 +95,9 @@
   /// Returns the entry host that should get the request instead. One that was
   /// handed on already stays here.
   [[nodiscard]] std::optional<EntryPeer> choosePeer();
+  /// Returns whether the request may be sent to another entry host after the
+  /// attempt that begins, and there is one.
+  [[nodiscard]] bool canHandOn() const;
   boost::asio::awaitable<NextStep> forward(const EntryPeer &Peer);
   boost::asio::awaitable<NextStep> finishForward(HttpCallOutcome End);
   /// Performs \p Request with this session as the sink. Returns nothing if the
