LibFormation: Form no group anew where most groups are silent

Cause, as far as it is argued: GroupStalls took slowness of all groups for the stall of each, and formed them anew where no other group could take the streams.

Change: a group stands still only where at least as many groups with requests send events as don't. NoneStandsStillWhereMostAreSilent guards it (without the rule a single silent group among silent ones stood still); the other tests of GroupStalls have a group that sends events beside the silent one now, with the same bounds.

Result: TestGroupStalls passes.

--- a/Libraries/LibFormation/GroupStalls.cpp
+++ b/Libraries/LibFormation/GroupStalls.cpp
@@ -28,7 +28,8 @@
 bool GroupStalls::isStandingStill(TimePoint Now, const GroupName &Name,
                                   std::uint64_t Epoch) const {
   auto Found = this->Groups.find(Name);
-  if (Found == this->Groups.end() || Found->second.Epoch != Epoch)
+  if (Found == this->Groups.end() || Found->second.Epoch != Epoch ||
+      !this->mostSendEvents(Now))
     return false;
   std::size_t SilentHosts = 0;
   for (const auto &[Host, Latest] : Found->second.Hosts) {
@@ -41,6 +42,23 @@
   return SilentHosts >= this->Options.MinHosts;
 }
 
+bool GroupStalls::mostSendEvents(TimePoint Now) const {
+  std::size_t Sending = 0;
+  std::size_t Silent = 0;
+  for (const auto &[Name, Entry] : this->Groups) {
+    bool HasStatement = false;
+    bool SendsEvents = false;
+    for (const auto &[Host, Latest] : Entry.Hosts) {
+      bool IsFresh = Now - Latest.ReportedAt <= this->Options.MaxReportAge;
+      HasStatement = HasStatement || IsFresh;
+      SendsEvents = SendsEvents || (IsFresh && !Latest.SilentSince);
+    }
+    Sending += SendsEvents ? 1 : 0;
+    Silent += HasStatement && !SendsEvents ? 1 : 0;
+  }
+  return Sending >= Silent;
+}
+
 void GroupStalls::removeExpired(TimePoint Now) {
   for (auto &[Name, Entry] : this->Groups)
     std::erase_if(Entry.Hosts, [&](const auto &Each) {
--- a/Libraries/LibFormation/GroupStalls.h
+++ b/Libraries/LibFormation/GroupStalls.h
@@ -5,7 +5,9 @@
 /// member that works on one step for seconds holds up all requests of its group
 /// and still answers probes. A group stands still once all hosts with requests
 /// there, and at least two, have had no event from it for longer than usual,
-/// and that for EndingSilence. One host alone may have lost its links.
+/// and that for EndingSilence. One host alone may have lost its links. Where
+/// more groups are silent than not, all are slow, and no other could take the
+/// requests.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -41,6 +43,9 @@
   /// \returns whether the group with this member list stands still.
   [[nodiscard]] bool isStandingStill(TimePoint Now, const GroupName &Group,
                                      std::uint64_t Epoch) const;
+  /// \returns whether at least as many groups with requests send events as
+  /// don't.
+  [[nodiscard]] bool mostSendEvents(TimePoint Now) const;
   /// Forgets the groups that nobody has spoken of for MaxReportAge.
   void removeExpired(TimePoint Now);
 
--- a/Tests/LibFormation/TestGroupStalls.cpp
+++ b/Tests/LibFormation/TestGroupStalls.cpp
@@ -22,6 +22,7 @@
   for (TimePoint Now = Start; Now <= End; Now += Step)
     for (int Host = 0; Host < Hosts; ++Host)
       Stalls.recordWork(Now, "g", 7, "host" + std::to_string(Host), IsSilent);
+  Stalls.recordWork(End, "sound", 1, "host0", false);
 }
 
 TEST(GroupStalls, GroupSilentToAllHostsForEndingSilenceStandsStill) {
@@ -48,6 +49,17 @@
   EXPECT_TRUE(Stalls.isStandingStill(Now, "g", 7));
 }
 
+// Guards against streams of slow engines that end although no other group could
+// take them, because all are slow.
+TEST(GroupStalls, NoneStandsStillWhereMostAreSilent) {
+  GroupStalls Stalls;
+  TimePoint Now = Start + EndingSilence;
+  reportSilence(Stalls, 2, Now);
+  EXPECT_TRUE(Stalls.isStandingStill(Now, "g", 7));
+  Stalls.recordWork(Now, "slow", 1, "host0", true);
+  EXPECT_FALSE(Stalls.isStandingStill(Now, "g", 7));
+}
+
 TEST(GroupStalls, OldStatementsAndOtherMemberListsDontCount) {
   GroupStalls Stalls;
   TimePoint Now = Start + EndingSilence;
