--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -246,10 +246,11 @@
             co_await fetch(this->Controls[Next % this->Controls.size()],
                            ControlPort, Beat, milliseconds(1000));
         bool IsTaken = Answer && Answer->result_int() / 100 == 2;
-        if (Left > 0 || !IsTaken)
+        if (Left > 0 || IsTaken != this->WasTaken)
           this->Log.line(this->Id + " heartbeat cold_left_ms " +
                          std::to_string(Left) +
                          (IsTaken ? " acknowledged" : " not acknowledged"));
+        this->WasTaken = IsTaken;
         if (IsTaken)
           break;
         ++Next;
@@ -351,6 +352,8 @@
                           std::chrono::system_clock::now().time_since_epoch())
                           .count();
   std::uint64_t Sequence = 0;
+  /// The last heartbeat was acknowledged.
+  bool WasTaken = true;
   Clock::time_point ColdUntil;
   bool Crashed = false;
   std::vector<Arrival> Arrivals;
