--- a/review/standins-2/World.cpp
+++ b/review/standins-2/World.cpp
@@ -3,7 +3,8 @@
 /// \file
 /// Starts the product's control and entry processes on loopback addresses, in
 /// front of stand-ins for plain servers, an operator and clients, and plays
-/// one case. Usage: World cold|first-start RECORD TROUBLE
+/// one case. Usage: World CASE RECORD TROUBLE, where CASE is first-start, cold
+/// or cold-without-core
 ///
 /// Each process and each server has an IP address of its own in 127/8. All
 /// stand-ins run on one thread; times are those of the system's steady clock.
@@ -363,6 +364,10 @@
   std::set<std::shared_ptr<beast::tcp_stream>> Open;
 };
 
+/// Of a process: with the whole system, again with its disk, or as a new
+/// machine.
+enum class Start { First, Again, Replacement };
+
 /// What a client sent and got; status 0 is a connection without an answer.
 struct Attempt {
   Clock::time_point SentAt;
@@ -401,8 +406,9 @@
   World(const World &) = delete;
   World &operator=(const World &) = delete;
 
-  /// Both \return the exit code of the script.
+  /// All \return the exit code of the script.
   int playCold(bool HasTrouble);
+  int playColdWithoutCore(bool HasTrouble);
   int playFirstStart(bool HasTrouble);
 
 private:
@@ -416,13 +422,14 @@
 
   /// The settings as deploy/settings.json renders them.
   [[nodiscard]] std::string settings(std::size_t Zone, bool IsControl,
-                                     bool IsFirstStart = true) const {
+                                     Start Kind = Start::First) const {
     std::string Ip = IsControl ? this->Controls[Zone] : this->Edges[Zone];
     auto At = [&](unsigned Port) {
       return '"' + Ip + ":" + std::to_string(Port) + '"';
     };
     std::string Name = std::string(IsControl ? "core-" : "edge-") +
-                       zoneName(Zone) + (IsFirstStart ? "-1" : "-2");
+                       zoneName(Zone) +
+                       (Kind == Start::Replacement ? "-2" : "-1");
     std::string Text = R"({"host":")" + Name + R"(","ip":")" + Ip +
                        R"(","failure_domain":")" + zoneName(Zone) +
                        R"(","failure_domains":["zone-a","zone-b","zone-c"],)";
@@ -441,7 +448,8 @@
     for (std::size_t I = 0; I < Zones; ++I)
       Text += (I == 0 ? "\"" : ",\"") + this->Controls[I] + ":" +
               std::to_string(ControlPort) + '"';
-    return Text + R"(],"first_start":)" + (IsFirstStart ? "true" : "false") +
+    return Text + R"(],"first_start":)" +
+           (Kind == Start::First ? "true" : "false") +
            R"(,"memory_mb":256,"report_interval_ms":1200,)"
            R"("faults_borne":{"hosts":1,"failure_domains":1},)"
            R"("bounds":{"drain_ms":2000,"grace_s":8,"revocation_ms":5000,)"
@@ -512,7 +520,10 @@
   asio::awaitable<void> client(std::size_t Number, milliseconds Interval);
   asio::awaitable<void> send(beast::tcp_stream &Stream, std::string Id,
                              bool MayRepeat, Attempt &Result);
+  asio::awaitable<void> startClients();
+  asio::awaitable<void> endClients();
   asio::awaitable<void> directCold(bool HasTrouble);
+  asio::awaitable<void> directColdWithoutCore(bool HasTrouble);
   asio::awaitable<void> directFirstStart(bool HasTrouble);
   [[nodiscard]] int judgeCold();
 
@@ -583,28 +594,29 @@
   }
 }
 
-/// The first server turns cold; with trouble it does so again two seconds
-/// later, before it is warm.
-asio::awaitable<void> World::directCold(bool HasTrouble) {
+/// Starts 27 clients once all edge machines are ready, and lets them send for a
+/// while. Where the machines don't get ready, the case can't run.
+asio::awaitable<void> World::startClients() {
   static constexpr std::size_t Clients = 27;
   static constexpr milliseconds Interval(100);
-  co_await this->putConfig(std::chrono::seconds(30));
+  bool IsTaken = co_await this->putConfig(std::chrono::seconds(30));
   Clock::time_point GiveUpAt = Clock::now() + std::chrono::seconds(30);
-  while (!co_await this->isReady())
-    if (Clock::now() > GiveUpAt) {
-      this->Log.line("the edge machines are not ready");
-      co_return this->Context.stop();
-    }
+  bool AreReady = false;
+  while (IsTaken && !AreReady && Clock::now() < GiveUpAt)
+    AreReady = co_await this->isReady();
+  if (!AreReady) {
+    this->Log.line("the edge machines are not ready");
+    this->Context.stop();
+  }
   co_await sleepFor(milliseconds(2000));
   for (std::size_t I = 0; I < Clients; ++I)
     asio::co_spawn(this->Context, this->client(I, Interval), asio::detached);
   this->Log.line("clients send " + std::to_string(Clients * 10) +
                  " requests a second");
   co_await sleepFor(milliseconds(5000));
-  this->Servers[0]->turnCold();
-  co_await sleepFor(milliseconds(2000));
-  if (HasTrouble)
-    this->Servers[0]->turnCold();
+}
+
+asio::awaitable<void> World::endClients() {
   co_await sleepFor(milliseconds(6000));
   this->Stopping = true;
   co_await sleepFor(milliseconds(3000));
@@ -612,6 +624,36 @@
   this->Context.stop();
 }
 
+/// The first server turns cold; with trouble it does so again two seconds
+/// later, before it is warm.
+asio::awaitable<void> World::directCold(bool HasTrouble) {
+  co_await this->startClients();
+  this->Servers[0]->turnCold();
+  co_await sleepFor(milliseconds(2000));
+  if (HasTrouble)
+    this->Servers[0]->turnCold();
+  co_await this->endClients();
+}
+
+/// The first server turns cold; with trouble the processes of the core are
+/// killed 300 ms before that, and are back 900 ms after they were killed.
+asio::awaitable<void> World::directColdWithoutCore(bool HasTrouble) {
+  co_await this->startClients();
+  for (std::size_t I = 0; I < Zones && HasTrouble; ++I)
+    this->Programs.killNow("control-" + std::to_string(I));
+  if (HasTrouble)
+    this->Log.line("all processes of the core are killed");
+  co_await sleepFor(milliseconds(300));
+  this->Servers[0]->turnCold();
+  co_await sleepFor(milliseconds(600));
+  for (std::size_t I = 0; I < Zones && HasTrouble; ++I)
+    this->Programs.start("control", "control-" + std::to_string(I),
+                         this->settings(I, true, Start::Again));
+  if (HasTrouble)
+    this->Log.line("all processes of the core start again");
+  co_await this->endClients();
+}
+
 /// FAILBACK: a cold server gets more requests in one second than cold_per_s x
 /// cold_overage + cold_slack; those count that were sent and arrived inside
 /// that second.
@@ -674,6 +716,14 @@
   return this->judgeCold();
 }
 
+int World::playColdWithoutCore(bool HasTrouble) {
+  this->startAll();
+  asio::co_spawn(this->Context, this->directColdWithoutCore(HasTrouble),
+                 asio::detached);
+  this->Context.run_for(std::chrono::seconds(90));
+  return this->judgeCold();
+}
+
 /// All machines start for the first time, the first core machine 250 ms before
 /// the others. With trouble it is lost for good 200 ms after its start, and an
 /// empty one at another address takes its place after two seconds.
@@ -695,7 +745,7 @@
     this->Controls.push_back(this->Network + "14");
     this->Log.line("an empty core machine starts at another address");
     this->Programs.start("control", "control-3",
-                         this->settings(Zones - 1, true, false));
+                         this->settings(Zones - 1, true, Start::Replacement));
   }
   co_await sleepFor(milliseconds(3000));
   bool IsTaken = co_await this->putConfig(std::chrono::seconds(60));
@@ -739,6 +789,8 @@
     World Play(Words[2]);
     if (Case == "cold")
       return Play.playCold(HasTrouble);
+    if (Case == "cold-without-core")
+      return Play.playColdWithoutCore(HasTrouble);
     return Case == "first-start" ? Play.playFirstStart(HasTrouble) : 2;
   } catch (const std::exception &Failure) {
     std::cerr << Failure.what() << std::endl;
