LibHTTP: Judge the head of a response as a whole

Callers saw: an answer with status 000, 600 or 999, as the answer; a complete 200 that came after one with status 000 or a 101 that nobody had asked for, as the answer; 504 once all their time was used up, where an engine sent status 000 and left the connection open; a 200 whose body held the size lines of chunks.

Cause: nothing judged a response head as a whole. Beast checks the grammar of each line. What the lines mean was taken as it came: each number of three digits was a status, each status under 200 that of an interim response, each unknown transfer coding the announcement of a body that ends with its connection.

Change: findResponseFault(), a decision without sockets, says which heads are responses (RFC 9110, section 15; RFC 9112, section 6), and HttpClient, which reads all answers, asks it for each head, interim ones too, before anything else sees the head. A fault ends the call at once as Incomplete, and its connection is not used again. fault() of a call tells a broken answer, also one of broken grammar, from a lost connection. BrokenAnswer makes such answers from sound ones, and LinkStandIn sends them.

Why it works: a head reaches a sink, the choice of the response's owner or the wait for another head only after the rule, so that no reader can skip it; the test sends each form whole and byte by byte, before a close, a wait and a sound answer.

--- a/Libraries/LibHTTP/HttpClient.cpp
+++ b/Libraries/LibHTTP/HttpClient.cpp
@@ -271,6 +271,7 @@
   /// The Keep-Alive timeout of the endpoint, if it sent one.
   std::optional<Duration> IdleTimeout;
   HttpCallLimit Limit = HttpCallLimit::None;
+  std::optional<MessageFault> Fault;
   bool ConnectionRefused = false;
 };
 
@@ -396,6 +397,30 @@
   co_return beast::error_code();
 }
 
+/// Returns the fault of bytes at which the parser ended by \p Error; nothing if
+/// the connection, a limit or the caller ended the reading.
+static std::optional<MessageFault>
+findSyntaxFault(const beast::error_code &Error,
+                const beast::flat_buffer &Unparsed) {
+  bool IsOfParser = Error.category() ==
+                    http::make_error_code(http::error::bad_version).category();
+  if (!IsOfParser || Error == http::error::end_of_stream ||
+      Error == http::error::partial_message ||
+      Error == http::error::header_limit ||
+      Error == http::error::buffer_overflow)
+    return std::nullopt;
+  std::string_view Bytes(static_cast<const char *>(Unparsed.data().data()),
+                         Unparsed.size());
+  return MessageFault{.Kind = MessageFaultKind::Syntax,
+                      .Value = printableBytes(Bytes)};
+}
+
+static HttpVersion
+versionOf(const http::response_parser<http::buffer_body> &Parser) {
+  return Parser.get().version() < 11 ? HttpVersion::Http10
+                                     : HttpVersion::Http11;
+}
+
 /// Reads the response to this call. Responses to other calls that precede it
 /// are discarded, within the limits of time and bytes of its own head.
 static asio::awaitable<ResponseReadResult>
@@ -421,9 +446,14 @@
         co_await readHead(Stream, Buffer, Parser, HeadBytesLeft);
     if (HeadError) {
       Result.Limit = Timer.limitOf(HeadError);
+      Result.Fault = findSyntaxFault(HeadError, Buffer);
       co_return Result;
     }
     HttpResponseHead Head = responseHead(Parser);
+    // Nothing of a broken head is passed on, nor decides whose response it is.
+    Result.Fault = findResponseFault(versionOf(Parser), Head);
+    if (Result.Fault)
+      co_return Result;
     bool IsInterim = Head.Status < 200;
     ResponseOwner Owner = ResponseOwner::ThisCall;
     if (!IsInterim && Options.FindOwner)
@@ -456,6 +486,7 @@
         co_await ReceivingSink.chunk(std::string(Bytes.data(), ReadBytes));
       if (Error && Error != http::error::need_buffer) {
         Result.Limit = Timer.limitOf(Error);
+        Result.Fault = findSyntaxFault(Error, Buffer);
         co_return Result;
       }
     }
@@ -577,6 +608,7 @@
   }
   Control.Shared->attach(nullptr);
   Control.Limit = ReadResult.Limit;
+  Control.Fault = std::move(ReadResult.Fault);
   Control.ConnectionRefused = ReadResult.ConnectionRefused;
   // Other idle connections to this address may be stalled for the same reason,
   // so that the next calls open new ones.
@@ -641,6 +673,7 @@
         co_await this->perform(std::move(Address), std::move(Request),
                                std::move(Options), Sink, Control);
     Result.Limit = Control.limit();
+    Result.Fault = Control.fault();
     Result.ConnectionRefused = Control.isConnectionRefused();
     // A call that was given up ended by its cancellation.
     if (Result.Outcome == HttpCallOutcome::Incomplete && Held &&
--- a/Libraries/LibHTTP/HttpClient.h
+++ b/Libraries/LibHTTP/HttpClient.h
@@ -13,6 +13,7 @@
 #include <LibCore/HeldBytes.h>
 #include <LibCore/Time.h>
 #include <LibHTTP/HttpMessage.h>
+#include <LibHTTP/MessageRule.h>
 #include <LibHTTP/ResponseOwner.h>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -31,8 +32,9 @@
   /// No byte of the request was written, so the endpoint cannot have run it.
   NotWritten,
   /// At least one byte was written, but no complete response was received: the
-  /// connection was lost, a timeout expired or the call was cancelled. The
-  /// endpoint may have run the request.
+  /// connection was lost, a timeout expired, the call was cancelled or what
+  /// came
+  /// is no response. The endpoint may have run the request.
   Incomplete,
 };
 
@@ -107,6 +109,11 @@
 
   /// Returns the limit that ended the call. Read after the call has ended.
   [[nodiscard]] HttpCallLimit limit() const { return this->Limit; }
+  /// Returns why what came is no response, if that ended the call. The bytes
+  /// are no sign of how the endpoint is. Read after the call has ended.
+  [[nodiscard]] const std::optional<MessageFault> &fault() const {
+    return this->Fault;
+  }
   /// Returns whether the address refused the connection: nothing listens there.
   /// Read after the call has ended.
   [[nodiscard]] bool isConnectionRefused() const {
@@ -117,6 +124,7 @@
   friend class HttpClient;
   class State;
   HttpCallLimit Limit = HttpCallLimit::None;
+  std::optional<MessageFault> Fault = {};
   bool ConnectionRefused = false;
   std::shared_ptr<State> Shared;
 };
@@ -128,6 +136,8 @@
   std::string Body;
   /// The limit that ended the call.
   HttpCallLimit Limit = HttpCallLimit::None;
+  /// Why what came is no response, if that ended the call.
+  std::optional<MessageFault> Fault = {};
   /// True if the address refused the connection: nothing listens there.
   bool ConnectionRefused = false;
 };
--- a/Libraries/LibHTTP/HttpMessage.cpp
+++ b/Libraries/LibHTTP/HttpMessage.cpp
@@ -12,7 +12,7 @@
 
 namespace carobhinge {
 
-static bool equalIgnoringCase(std::string_view Left, std::string_view Right) {
+bool equalIgnoringCase(std::string_view Left, std::string_view Right) {
   return std::ranges::equal(Left, Right, [](unsigned char A, unsigned char B) {
     return std::tolower(A) == std::tolower(B);
   });
--- a/Libraries/LibHTTP/HttpMessage.h
+++ b/Libraries/LibHTTP/HttpMessage.h
@@ -15,6 +15,10 @@
 
 namespace carobhinge {
 
+/// Compares names of fields, and values that are names.
+[[nodiscard]] bool equalIgnoringCase(std::string_view Left,
+                                     std::string_view Right);
+
 struct HttpHeader {
   std::string Name;
   std::string Value;
--- a/Libraries/LibStandIn/LinkStandIn.cpp
+++ b/Libraries/LibStandIn/LinkStandIn.cpp
@@ -30,6 +30,8 @@
 static constexpr auto UseTuple = asio::as_tuple(asio::use_awaitable);
 /// A held link is released by a signal; the wait for it needs some limit.
 static constexpr auto HeldCheckInterval = std::chrono::seconds(30);
+/// Between two looks whether the client of a broken answer has gone.
+static constexpr auto ClosedCheckInterval = std::chrono::milliseconds(20);
 
 namespace {
 
@@ -81,6 +83,10 @@
   /// Null: none.
   const EndlessForm *EndlessAnswer = nullptr;
   std::atomic<std::size_t> EndlessBytesWritten = 0;
+  /// Null: none.
+  const BrokenAnswer *BrokenForm = nullptr;
+  AfterBrokenAnswer AfterBroken = AfterBrokenAnswer::Close;
+  std::atomic<unsigned> BrokenCount = 0;
 
 private:
   asio::awaitable<void> control(HttpExchange &Exchange);
@@ -89,6 +95,10 @@
                               tcp::socket &Source, tcp::socket &Sink);
 
   asio::awaitable<void> writeWithoutEnd(tcp::socket &Client, EndlessForm Form);
+  /// Writes a broken answer in place of \p Sound. Returns once the connection
+  /// is to be closed.
+  asio::awaitable<void> writeBroken(ProxiedConnection &Connection,
+                                    std::string_view Sound);
 
   void applyDropMode(ProxiedConnection &Each) const;
 
@@ -175,6 +185,10 @@
       co_await this->writeWithoutEnd(Sink, *this->EndlessAnswer);
       break;
     }
+    if (this->BrokenForm != nullptr && &Sink == &Connection->Client) {
+      co_await this->writeBroken(*Connection, {Buffer.data(), Count});
+      break;
+    }
     auto [WriteError, Written] = co_await asio::async_write(
         Sink, asio::buffer(Buffer.data(), Count), UseTuple);
     if (WriteError)
@@ -204,6 +218,23 @@
   }
 }
 
+asio::awaitable<void>
+LinkStandIn::Implementation::writeBroken(ProxiedConnection &Connection,
+                                         std::string_view Sound) {
+  ++this->BrokenCount;
+  AfterBrokenAnswer After = this->AfterBroken;
+  std::string Bytes = this->BrokenForm->makeFrom(Sound);
+  if (After == AfterBrokenAnswer::Answer)
+    Bytes += Sound;
+  co_await asio::async_write(Connection.Client, asio::buffer(Bytes), UseTuple);
+  if (After == AfterBrokenAnswer::Close)
+    co_return;
+  // The other direction closes the connection once its client has done so.
+  Signal Pause(this->Executor);
+  while (Connection.Client.is_open())
+    co_await Pause.wait(ClosedCheckInterval);
+}
+
 /// Applies the byte drops of the current mode to a connection.
 void LinkStandIn::Implementation::applyDropMode(ProxiedConnection &Each) const {
   LinkMode Current = this->modeOf(Each);
@@ -312,6 +343,16 @@
   this->Impl->EndlessAnswer = Form;
 }
 
+void LinkStandIn::setBrokenAnswers(const BrokenAnswer *Form,
+                                   AfterBrokenAnswer After) {
+  this->Impl->BrokenForm = Form;
+  this->Impl->AfterBroken = After;
+}
+
+unsigned LinkStandIn::brokenAnswerCount() const {
+  return this->Impl->BrokenCount;
+}
+
 std::size_t LinkStandIn::endlessBytes() const {
   return this->Impl->EndlessBytesWritten;
 }
--- a/Libraries/LibStandIn/LinkStandIn.h
+++ b/Libraries/LibStandIn/LinkStandIn.h
@@ -11,6 +11,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHTTP/HttpServer.h>
+#include <LibStandIn/BrokenAnswer.h>
 #include <LibStandIn/EndlessForm.h>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
@@ -66,7 +67,14 @@
   /// answer and \p Form, until the client closes; null ends that. Call on the
   /// executor's thread only.
   void setEndlessAnswers(const EndlessForm *Form);
-  /// Returns the bytes written in such answers. May be called from any thread.
+  /// From now on the beginning of each answer of the server, or what comes next
+  /// of one that is on its way, is replaced by \p Form, which must outlive the
+  /// link; null ends that. Call on the executor's thread only.
+  void setBrokenAnswers(const BrokenAnswer *Form, AfterBrokenAnswer After);
+  /// Returns the number of broken answers. May be called from any thread.
+  [[nodiscard]] unsigned brokenAnswerCount() const;
+  /// Returns the bytes written in answers without end. May be called from any
+  /// thread.
   [[nodiscard]] std::size_t endlessBytes() const;
 
 private:
--- a/Tests/PlatformWorld/EndpointSimulator.cpp
+++ b/Tests/PlatformWorld/EndpointSimulator.cpp
@@ -273,6 +273,18 @@
   });
 }
 
+void EndpointSimulator::setBrokenAnswers(std::size_t Index,
+                                         const BrokenAnswer *Form,
+                                         AfterBrokenAnswer After) {
+  asio::post(this->Context, [this, Index, Form, After] {
+    this->Endpoints.at(Index)->link().setBrokenAnswers(Form, After);
+  });
+}
+
+unsigned EndpointSimulator::brokenAnswerCount(std::size_t Index) const {
+  return this->Endpoints.at(Index)->link().brokenAnswerCount();
+}
+
 std::size_t EndpointSimulator::endlessAnswerBytes() const {
   std::size_t Bytes = 0;
   for (const auto &Each : this->Endpoints)
--- a/Tests/PlatformWorld/EndpointSimulator.h
+++ b/Tests/PlatformWorld/EndpointSimulator.h
@@ -97,6 +97,12 @@
   void setEndlessAnswers(std::size_t Index, const EndlessForm *Form);
   /// Bytes written in such answers, over all endpoints.
   [[nodiscard]] std::size_t endlessAnswerBytes() const;
+  /// Replaces the answers of endpoint \p Index by broken ones; null ends that.
+  /// \p Form must outlive the simulator.
+  void setBrokenAnswers(std::size_t Index, const BrokenAnswer *Form,
+                        AfterBrokenAnswer After = AfterBrokenAnswer::Close);
+  /// Broken answers of endpoint \p Index so far.
+  [[nodiscard]] unsigned brokenAnswerCount(std::size_t Index) const;
   /// Multiplies all times of the engine's groups by \p Factor.
   void slowDown(std::size_t Index, double Factor);
   /// Endpoint \p Index, and others by \p Scope, stand still for \p Length: they
