LibEntry, LibServe: Take no broken answer for a crash

Callers saw: 400 ("engines crash on this request") to sound requests, from then on and at every entry host, after engines had sent broken answers to some of them; 503 while the crash was judged. Each broken answer logged `engine-crashed`, although its engine ran.

Cause: a call that ended without a whole answer counted as a lost connection, whatever had ended it. Lost connections are the evidence that an engine has crashed, and crashes speak against the request and the parts of its prompt. The leader takes a report back if the engine's probe tells the same life, but only once for each report; reports of other hosts, and of the next broken answers, go on to count.

On: 29 such lines, statuses 600 and 999 as answers.

Change: a call that ended by bytes that are no answer ends in order for the crash detector, as one that ended at a limit of bytes does, in CallerSession, StandbyAttempt, IdempotentCall and NonIdempotentCall; nor does such a standby count as an engine that this host does not reach. `broken-answer` and broken_answer_FAULT_total say by what fault, by whom and how often, with the offending bytes bounded and printable.

Why it works: bytes are the work of a process that runs.

--- a/Carobhinge/StandInCommand.cpp
+++ b/Carobhinge/StandInCommand.cpp
@@ -82,6 +82,8 @@
   Command->add_option("--checks-fencing", Options->ChecksFencing);
   Command->add_option("--warm-up-answers", Options->WarmUpAnswers);
   Command->add_option("--cold-batch-limit", Options->ColdBatchLimit);
+  Command->add_option("--bad-status-on", Options->BadStatusText,
+                      "Beginning of messages whose answers have status 600.");
   Command->add_option("--break-off-on", Options->BreakOffText,
                       "Beginning of messages whose streams break off.");
   Command->add_option("--crash-on", Options->CrashText,
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -550,7 +550,7 @@
   }
   this->IsUnusable = this->IsUnusable || Followed->isUnusable();
   this->IsPaused = this->IsPaused || Followed->isPaused();
-  this->recordCallLimits(End, Followed->control());
+  this->recordCallFaults(End, Followed->control());
   co_return co_await this->endCall(End);
 }
 
@@ -577,6 +577,7 @@
   this->HasContent = false;
   this->IsPaused = false;
   this->IsUnusable = false;
+  this->HasBrokenAnswer = false;
   freeStorage(this->AnswerBody);
   this->HeldAnswer.reset();
   this->Relay.restart();
@@ -625,13 +626,19 @@
     // The sink throws when writing to the caller fails.
   }
   this->CallControl = nullptr;
-  this->recordCallLimits(End, Control);
+  this->recordCallFaults(End, Control);
   co_return End;
 }
 
-void CallerSession::recordCallLimits(std::optional<HttpCallOutcome> End,
+void CallerSession::recordCallFaults(std::optional<HttpCallOutcome> End,
                                      const HttpCallControl &Control) {
-  // What no limit of bytes allows is no sign of a crash.
+  // What is no answer, or what no limit of bytes allows, is no sign of a crash.
+  if (const std::optional<MessageFault> &Fault = Control.fault()) {
+    this->Context.Limits.recordBrokenAnswer(messageFaultName(Fault->Kind),
+                                            Fault->Value, this->LastEndpoint);
+    this->HasBrokenAnswer = true;
+    this->rejectAnswer();
+  }
   if (End == HttpCallOutcome::Incomplete &&
       Control.limit() == HttpCallLimit::HeldBytes)
     this->rejectAnswer(httpCallLimitName(Control.limit()));
@@ -933,10 +940,11 @@
 
 /// Logs an attempt that did not end with an answer from the endpoint.
 void CallerSession::logAttempt(DispatchResult Result) {
-  std::string_view Reason = this->IsSuperseded     ? "place stood still"
-                            : this->IsGivenUp      ? NoMemoryReason
-                            : this->IsUnusable     ? "answer unusable"
-                            : this->DeadlinePassed ? "out of time"
+  std::string_view Reason = this->IsSuperseded      ? "place stood still"
+                            : this->IsGivenUp       ? NoMemoryReason
+                            : this->HasBrokenAnswer ? "answer broken"
+                            : this->IsUnusable      ? "answer unusable"
+                            : this->DeadlinePassed  ? "out of time"
                             : this->Exchange.callerDisconnected()
                                 ? "caller gone"
                                 : "";
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -104,8 +104,9 @@
   /// caller is gone.
   boost::asio::awaitable<std::optional<HttpCallOutcome>>
   perform(std::string Address, HttpRequest Request, HttpCallControl &Control);
-  /// Takes note of limits that the call, which has ended, has reached.
-  void recordCallLimits(std::optional<HttpCallOutcome> End,
+  /// Takes note of limits that the call, which has ended, has reached, and of
+  /// bytes that are no answer.
+  void recordCallFaults(std::optional<HttpCallOutcome> End,
                         const HttpCallControl &Control);
   void resetAnswer();
   /// Counts the request for the retry budget, unless its peer does.
@@ -228,6 +229,8 @@
   bool IsPaused = false;
   /// The endpoint sent bytes that are no answer; the rest isn't read.
   bool IsUnusable = false;
+  /// They break HTTP itself. Implies IsUnusable.
+  bool HasBrokenAnswer = false;
   /// The process could not hold the answer.
   bool IsGivenUp = false;
 
--- a/Libraries/LibEntry/StandbyAttempt.cpp
+++ b/Libraries/LibEntry/StandbyAttempt.cpp
@@ -155,6 +155,12 @@
 
 void StandbyAttempt::settle() {
   EntryState &State = this->Context.State;
+  const DispatchTarget &Target = this->Options.Target;
+  if (const std::optional<MessageFault> &Fault = this->Control.fault()) {
+    this->Context.Limits.recordBrokenAnswer(messageFaultName(Fault->Kind),
+                                            Fault->Value, Target.Endpoint);
+    this->IsUnusable = true;
+  }
   bool IsComplete = this->End == HttpCallOutcome::Complete && this->HasHead &&
                     !this->IsUnusable;
   bool IsWritten = this->End != HttpCallOutcome::NotWritten;
@@ -168,14 +174,14 @@
                           : IsComplete ? DispatchResult::Failed
                                        : DispatchResult::Lost;
   TimePoint Now = monotonicNow();
-  const DispatchTarget &Target = this->Options.Target;
-  if (Result == DispatchResult::Unreachable || IsLost)
+  // Bytes that are no answer show neither a crash nor a lost link.
+  bool IsConnectionLost = IsLost && !this->IsUnusable;
+  if (Result == DispatchResult::Unreachable || IsConnectionLost)
     State.Contacts[Target.Service].recordFailure(Now, Target.Endpoint);
   State.RequestDispatcher.endAttempt(Now, this->Options.Number, Result);
   State.Crashes.endAttempt(Now, this->Options.Number,
-                           IsLost && !this->IsUnusable
-                               ? ConnectionEnd::Lost
-                               : ConnectionEnd::Orderly);
+                           IsConnectionLost ? ConnectionEnd::Lost
+                                            : ConnectionEnd::Orderly);
   logEvent(Severity::Info, "standby",
            {{"request", this->Options.RequestId},
             {"endpoint", Target.Endpoint},
--- a/Libraries/LibServe/IdempotentCall.cpp
+++ b/Libraries/LibServe/IdempotentCall.cpp
@@ -125,10 +125,11 @@
   /// The pause that the target asked for; zero if none.
   [[nodiscard]] Duration pause() const { return this->Pause; }
   /// How the engine ended the connection, if this host did not.
-  [[nodiscard]] ConnectionEnd connectionEnd(HttpCallOutcome End,
-                                            HttpCallLimit Limit) const {
-    // What no limit of bytes allows is no sign of a crash.
-    if (Limit == HttpCallLimit::HeldBytes)
+  [[nodiscard]] ConnectionEnd
+  connectionEnd(HttpCallOutcome End, const HttpCallControl &Control) const {
+    // What is no answer, or what no limit of bytes allows, is no sign of a
+    // crash.
+    if (Control.fault() || Control.limit() == HttpCallLimit::HeldBytes)
       return ConnectionEnd::Orderly;
     if (End == HttpCallOutcome::Complete && !this->HasLength)
       return ConnectionEnd::Ambiguous;
@@ -370,6 +371,10 @@
     if (Current.Control.limit() == HttpCallLimit::HeldBytes)
       this->Components.Limits.record(httpCallLimitName(Current.Control.limit()),
                                      DispatchEffect.TargetName);
+    if (const auto &Fault = Current.Control.fault())
+      this->Components.Limits.recordBrokenAnswer(messageFaultName(Fault->Kind),
+                                                 Fault->Value,
+                                                 DispatchEffect.TargetName);
   } catch (const AnswerTooLong &) {
     IsTooLong = true;
   } catch (const std::exception &) {
@@ -379,7 +384,7 @@
   Prompts.endAttempt(Sink.CrashKey,
                      Current.Cancelled || IsTooLong
                          ? ConnectionEnd::Orderly
-                         : Sink.connectionEnd(End, Current.Control.limit()));
+                         : Sink.connectionEnd(End, Current.Control));
   AttemptOutcome Outcome;
   if (End == HttpCallOutcome::Complete && Sink.busy())
     Outcome = {AttemptResult::Overloaded, Sink.pause()};
--- a/Libraries/LibServe/NonIdempotentCall.cpp
+++ b/Libraries/LibServe/NonIdempotentCall.cpp
@@ -425,8 +425,12 @@
   }
   bool IsSilent = monotonicNow() - Sink.LastBytesAt >= ChunkTimeout ||
                   monotonicNow() >= this->Call.Deadline;
+  const std::optional<MessageFault> &Fault = Control->fault();
+  if (Fault)
+    this->Components.Limits.recordBrokenAnswer(messageFaultName(Fault->Kind),
+                                               Fault->Value, this->SlotTarget);
   bool IsLost = Outcome == HttpCallOutcome::Incomplete &&
-                !this->DispatchCancelled && !IsSilent;
+                !this->DispatchCancelled && !IsSilent && !Fault;
   Prompts.endAttempt(CrashKey,
                      IsLost ? ConnectionEnd::Lost : ConnectionEnd::Orderly);
   if (Outcome == HttpCallOutcome::Complete && Sink.Answer.Status < 500)
--- a/Libraries/LibStandIn/EngineStandIn.cpp
+++ b/Libraries/LibStandIn/EngineStandIn.cpp
@@ -320,11 +320,18 @@
 EngineStandIn::Implementation::generate(HttpExchange &Exchange,
                                         const CompletionRequest &Parameters) {
   asio::steady_timer Timer(this->Executor);
-  bool BreaksOff =
-      !this->Options.BreakOffText.empty() &&
-      std::ranges::any_of(Parameters.Messages, [this](const auto &Message) {
-        return Message.starts_with(this->Options.BreakOffText);
-      });
+  auto HasMessage = [&Parameters](const std::string &Beginning) {
+    return !Beginning.empty() &&
+           std::ranges::any_of(Parameters.Messages, [&](const auto &Message) {
+             return Message.starts_with(Beginning);
+           });
+  };
+  if (HasMessage(this->Options.BadStatusText)) {
+    static constexpr unsigned BadStatus = 600;
+    HttpResponse Broken = errorResponse(BadStatus, "no such status");
+    co_return co_await Exchange.respond(std::move(Broken));
+  }
+  bool BreaksOff = HasMessage(this->Options.BreakOffText);
   if (BreaksOff && Parameters.ResumeFrom > 0) {
     HttpResponse Failure = errorResponse(500, "the engine has failed");
     co_return co_await Exchange.respond(std::move(Failure));
--- a/Libraries/LibStandIn/EngineStandIn.h
+++ b/Libraries/LibStandIn/EngineStandIn.h
@@ -45,6 +45,9 @@
   /// A stream with a message that begins so breaks off after its first tokens;
   /// where it is to be resumed, it is answered with an error.
   std::string BreakOffText = {};
+  /// Prompts with a message that begins so get an answer whose status does not
+  /// exist.
+  std::string BadStatusText = {};
   /// The limit that the engine announces; 0: none. It does not enforce it.
   double RequestLimit = 0;
   Duration AnnounceInterval = std::chrono::milliseconds(500);
--- a/Libraries/LibTelemetry/LimitReports.cpp
+++ b/Libraries/LibTelemetry/LimitReports.cpp
@@ -26,20 +26,38 @@
   return Line{.Peer = Key.second, .Count = std::exchange(Reached.Count, 0)};
 }
 
-void LimitLog::record(std::string_view Limit, std::string_view Peer) {
-  std::string Name = "limit_reached_" + std::string(Limit);
+static std::string metricName(std::string_view Prefix, std::string_view Cause) {
+  std::string Name = std::string(Prefix) + std::string(Cause);
   std::ranges::replace(Name, '-', '_');
-  this->Output.countEvent(Name);
-  std::optional<LimitReports::Line> Due;
-  {
-    std::lock_guard Guard(this->Lock);
-    Due = this->Reports.record(monotonicNow(), Limit, Peer);
-  }
-  if (Due)
+  return Name;
+}
+
+std::optional<LimitReports::Line> LimitLog::findDue(LimitReports &Of,
+                                                    std::string_view Cause,
+                                                    std::string_view Peer) {
+  std::lock_guard Guard(this->Lock);
+  return Of.record(monotonicNow(), Cause, Peer);
+}
+
+void LimitLog::record(std::string_view Limit, std::string_view Peer) {
+  this->Output.countEvent(metricName("limit_reached_", Limit));
+  if (auto Due = this->findDue(this->Reports, Limit, Peer))
     logEvent(Severity::Warning, "limit-reached",
              {{"limit", Limit},
               {"peer", Due->Peer},
               {"count", static_cast<std::int64_t>(Due->Count)}});
 }
 
+void LimitLog::recordBrokenAnswer(std::string_view Fault,
+                                  std::string_view Value,
+                                  std::string_view Peer) {
+  this->Output.countEvent(metricName("broken_answer_", Fault));
+  if (auto Due = this->findDue(this->BrokenAnswers, Fault, Peer))
+    logEvent(Severity::Warning, "broken-answer",
+             {{"fault", Fault},
+              {"value", Value},
+              {"peer", Due->Peer},
+              {"count", static_cast<std::int64_t>(Due->Count)}});
+}
+
 } // namespace carobhinge
--- a/Libraries/LibTelemetry/LimitReports.h
+++ b/Libraries/LibTelemetry/LimitReports.h
@@ -1,9 +1,9 @@
 //===- LibTelemetry/LimitReports.h - Which limits were reached, by whom ---===//
 ///
 /// \file
-/// Tells operators which limit a peer has reached, and how often, in a bounded
-/// number of log lines: one peer, or many of them, may reach limits without
-/// end.
+/// Tells operators which limit a peer has reached, or by what fault its answers
+/// are none, and how often, in a bounded number of log lines: one peer, or many
+/// of them, may do so without end.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -59,11 +59,19 @@
   /// Records that \p Peer, an endpoint or the IP address of a caller, has
   /// reached \p Limit, such as "held-bytes".
   void record(std::string_view Limit, std::string_view Peer);
+  /// Records that an answer of \p Peer was none by \p Fault, such as "status".
+  /// \p Value are the offending bytes, bounded and printable.
+  void recordBrokenAnswer(std::string_view Fault, std::string_view Value,
+                          std::string_view Peer);
 
 private:
+  std::optional<LimitReports::Line>
+  findDue(LimitReports &Of, std::string_view Cause, std::string_view Peer);
+
   Metrics &Output;
   std::mutex Lock;
   LimitReports Reports;
+  LimitReports BrokenAnswers;
 };
 
 } // namespace carobhinge
--- a/Libraries/LibTelemetry/LogVocabulary.cpp
+++ b/Libraries/LibTelemetry/LogVocabulary.cpp
@@ -39,6 +39,7 @@
         "slots", "after_ms"}},
       {"standby", {"request", "endpoint", "place", "end", "silent_ms"}},
       {"limit-reached", {"limit", "peer", "count"}},
+      {"broken-answer", {"fault", "value", "peer", "count"}},
       {"endpoint-leaving", {"request", "endpoint"}},
       {"engine-crashed", {"endpoint", "prompts"}},
       {"crash-disproved", {"endpoint", "reason"}},
--- a/Tests/Carobhinge/TestProcesses.cpp
+++ b/Tests/Carobhinge/TestProcesses.cpp
@@ -262,8 +262,8 @@
   explicit PromptCrashes(std::vector<unsigned> Groups = {3, 3, 3})
       : ModelCalls(std::move(Groups)) {}
 
-  bool isRefused(const HostAddresses &Host) {
-    HttpFetchResult Answer = this->call(Host, CrashText);
+  bool isRefused(const HostAddresses &Host, const char *Shared = CrashText) {
+    HttpFetchResult Answer = this->call(Host, Shared);
     return Answer.Head.Status == 400 &&
            Answer.Body.find("prompt-crashes-engines") != std::string::npos;
   }
@@ -343,6 +343,8 @@
   StreamsThatBreakOff() : ModelCalls({3, 3, 3}) {}
 };
 
+class BrokenAnswers : public PromptCrashes {};
+
 /// Each failure domain has a single group, and all three have the same name.
 class PromptCrashesOfNamesakes : public PromptCrashes {
 protected:
@@ -410,6 +412,32 @@
   }
 }
 
+// Guards against answers with a status that does not exist that are passed on,
+// and against messages that are refused since engines broke their answers.
+TEST_F(BrokenAnswers, AreNoAnswersAndNoCrashes) {
+  static constexpr int Rounds = 12;
+  this->Cluster.start();
+  for (const HostAddresses &Host : this->Cluster.hosts())
+    this->Cluster.waitFor("calls are answered at " + Host.Host, [&] {
+      return this->call(Host, "sound").Head.Status == 200;
+    });
+  for (int I = 0; I < Rounds; ++I)
+    for (const HostAddresses &Host : this->Cluster.hosts()) {
+      HttpFetchResult Answer = this->call(Host, BadStatusText, I % 2 == 0);
+      EXPECT_TRUE(Answer.Head.Status == 502 || Answer.Head.Status == 503)
+          << Answer.Head.Status << Answer.Body;
+      // Hosts agree on a crash meanwhile, if they take it for one.
+      std::this_thread::sleep_for(CallInterval);
+    }
+  EXPECT_EQ(this->Cluster.countCrashedEngines(), 0U);
+  for (const HostAddresses &Host : this->Cluster.hosts()) {
+    this->Cluster.waitFor("sound calls are answered at " + Host.Host, [&] {
+      return this->call(Host, "sound").Head.Status == 200;
+    });
+    EXPECT_FALSE(this->isRefused(Host, BadStatusText)) << Host.Host;
+  }
+}
+
 // Guards against an engine in need that gets far more requests, from all entry
 // hosts together, than the limit that it announces.
 TEST_F(LimitedEngines, GetNoMoreThanTheLimitThatTheyAnnounce) {
--- a/Tests/LibEntry/TestStandby.cpp
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -155,6 +155,35 @@
   HttpServer Server;
 };
 
+/// Answers one request with bytes that are no answer.
+class BrokenEngine {
+public:
+  explicit BrokenEngine(asio::io_context &Context)
+      : Acceptor(Context, {asio::ip::address_v4::loopback(), 0}),
+        Socket(Context) {
+    this->Acceptor.async_accept(this->Socket, [this](auto) {
+      this->Socket.async_read_some(
+          asio::buffer(this->Request), [this](auto, auto) {
+            asio::write(this->Socket, asio::buffer(this->Answer));
+            this->HasAnswered = true;
+          });
+    });
+  }
+  std::string address() {
+    return "127.0.0.1:" +
+           std::to_string(this->Acceptor.local_endpoint().port());
+  }
+
+  bool HasAnswered = false;
+
+private:
+  asio::ip::tcp::acceptor Acceptor;
+  asio::ip::tcp::socket Socket;
+  std::array<char, 4096> Request{};
+  const std::string Answer = "HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n"
+                             "\r\n15\r\nid: 3\ndata: broken\n\n\r\n";
+};
+
 class Standby : public ::testing::Test {
 protected:
   void SetUp() override {
@@ -175,9 +204,12 @@
   }
 
   void list(std::size_t Engine) {
+    this->list(Engine, this->Engines[Engine].Server.address());
+  }
+  void list(std::size_t Engine, std::string Address) {
     DispatchTarget Target{.Name = "t" + std::to_string(Engine),
                           .Endpoint = "e" + std::to_string(Engine),
-                          .Address = this->Engines[Engine].Server.address(),
+                          .Address = std::move(Address),
                           .Service = "s"};
     this->State.RequestDispatcher.update({&Target, 1});
   }
@@ -321,6 +353,28 @@
     EXPECT_NE(Crash.Engine, "e1");
 }
 
+/// Guards against a broken answer that is joined to the stream beside it, and
+/// against prompts that are blamed for a crash of its engine.
+TEST_F(Standby, BrokenAnswerLeavesTheRequestToTheFirstAttempt) {
+  BrokenEngine Broken(this->Context);
+  this->startFirst();
+  this->list(1, Broken.address());
+  ASSERT_EQ(this->Shared.StandbyCallbacks.size(), 1U);
+  this->Shared.StandbyCallbacks.begin()->second(/*IsStalled=*/true);
+  this->runUntil([&Broken] { return Broken.HasAnswered; });
+  this->runFor(50 * Millisecond);
+  EXPECT_FALSE(this->IsOver);
+  EXPECT_EQ(this->Caller.Body, makeEvents(1, 2));
+  EXPECT_TRUE(
+      this->State.Crashes.takeCrashes(monotonicNow() + std::chrono::seconds(2))
+          .empty());
+  this->Engines[0].allow(EventCount);
+  this->expectWholeAnswer();
+  EXPECT_NE(
+      this->ProcessMetrics.render().find("broken_answer_status_total 1\n"),
+      std::string::npos);
+}
+
 /// Guards against streams that end because no other place is there at the
 /// moment at which their engine ends.
 TEST_F(Standby, StreamOfALostEngineWaitsForAPlace) {
--- a/Tests/LibTelemetry/TestLimitReports.cpp
+++ b/Tests/LibTelemetry/TestLimitReports.cpp
@@ -42,6 +42,20 @@
   EXPECT_EQ(Later->Peer, "10.9.9.9");
 }
 
+// Guards against broken answers that nobody can count, by their fault.
+TEST(LimitLog, CountsBrokenAnswersByTheirFault) {
+  Metrics Collected;
+  LimitLog Log(Collected);
+  for (const char *Peer : {"engine-1", "engine-1", "engine-2"})
+    Log.recordBrokenAnswer("transfer-coding", "gzip", Peer);
+  Log.record("held-bytes", "engine-1");
+  std::string Text = Collected.render();
+  EXPECT_NE(Text.find("broken_answer_transfer_coding_total 3\n"),
+            std::string::npos)
+      << Text;
+  EXPECT_NE(Text.find("limit_reached_held_bytes_total 1\n"), std::string::npos);
+}
+
 // Guards against refused messages that nobody can count.
 TEST(RefusedMessageLog, CountsEachMessage) {
   Metrics Collected;
--- a/Tests/Processes/Deployment.cpp
+++ b/Tests/Processes/Deployment.cpp
@@ -238,6 +238,7 @@
       "--service",        this->Plan.Model,
       "--token-ms",       "2",
       "--crash-on",       CrashText,
+      "--bad-status-on",  BadStatusText,
       "--break-off-on",   BreakOffText,
       "--request-limit",  std::to_string(this->RequestLimit)};
   for (std::string &Each : this->announceTo(Domain))
--- a/Tests/Processes/Deployment.h
+++ b/Tests/Processes/Deployment.h
@@ -35,8 +35,10 @@
   std::string LookUpPrefix;
 };
 
-/// Engines crash on a prompt with this message before its last.
+/// What engines do at these messages: EngineStandInOptions.
+inline constexpr const char *BadStatusText = "the message that breaks answers";
 inline constexpr const char *BreakOffText = "the message that ends streams";
+/// Engines crash on a prompt with this message before its last.
 inline constexpr const char *CrashText = "the message that crashes engines";
 
 DeploymentPlan trustPlan();
