LibControl: Take no broken answer to a probe for silence

Callers saw: a group that was taken apart, and its streams with it, or a plain endpoint that got no more requests, since an engine in trouble had broken its answers to the probes of a control host.

Cause: a probe without a whole answer counted as unanswered, and an engine whose probes are unanswered for a while is lost by its silence. One that sends bytes is not silent.

Change: such a probe counts like one that was not sent. It shows neither a sound engine nor a silent one: a doubt that silence has begun stays, and only an answer or a report ends it. Control hosts log and count broken answers to probes, to orders and to questions about a crash. An order with a broken answer stays an order without an answer.

--- a/Libraries/LibControl/GroupCoordinator.cpp
+++ b/Libraries/LibControl/GroupCoordinator.cpp
@@ -254,7 +254,7 @@
     throw;
   }
   this->AskedEngines.erase(Id);
-  this->recordLimit(Id, Answer.Limit);
+  this->recordFaults(Id, Answer);
   if (Answer.ConnectionRefused && this->RefusalHandler)
     this->RefusalHandler(Id, SentAt);
   if (Answer.Outcome == HttpCallOutcome::Complete)
@@ -279,17 +279,24 @@
     this->FailureDetector.probeSkipped(Id);
     throw;
   }
-  this->recordLimit(Id, Answer.Limit);
+  this->recordFaults(Id, Answer);
   if (Answer.ConnectionRefused)
     co_return this->FailureDetector.probeRefused(monotonicNow(), Id);
+  // What is no answer shows neither a sound engine nor a silent one.
+  if (Answer.Fault)
+    co_return this->FailureDetector.probeSkipped(Id);
   if (Answer.Outcome != HttpCallOutcome::Complete)
     co_return this->FailureDetector.probeUnanswered(monotonicNow(), Id);
   this->FailureDetector.probeAnswered(monotonicNow(), Id);
   this->recordAnswer(SentAt, Id, Answer);
 }
 
-void GroupCoordinator::recordLimit(const EndpointName &Id,
-                                   HttpCallLimit Limit) {
+void GroupCoordinator::recordFaults(const EndpointName &Id,
+                                    const HttpFetchResult &Answer) {
+  if (Answer.Fault)
+    this->ReachedLimits.recordBrokenAnswer(messageFaultName(Answer.Fault->Kind),
+                                           Answer.Fault->Value, Id);
+  HttpCallLimit Limit = Answer.Limit;
   if (Limit == HttpCallLimit::HeldBytes || Limit == HttpCallLimit::BodyBytes ||
       Limit == HttpCallLimit::ProcessBytes)
     this->ReachedLimits.record(httpCallLimitName(Limit), Id);
@@ -344,7 +351,7 @@
                                     OrderResult::Unanswered);
     throw;
   }
-  this->recordLimit(Order.Recipient, Answer.Limit);
+  this->recordFaults(Order.Recipient, Answer);
   OrderResult Result = OrderResult::Unanswered;
   if (Answer.Outcome == HttpCallOutcome::Complete) {
     Result = this->Protocol.readOrderResult(Answer.Head.Status);
--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -112,7 +112,9 @@
   /// Returns whether \p Order ends the requests in progress at its recipient.
   [[nodiscard]] bool endsRequests(const EngineOrder &Order) const;
   /// Logs a limit of bytes that ended a call to an endpoint.
-  void recordLimit(const EndpointName &Id, HttpCallLimit Limit);
+  /// Takes note of a limit that the call has reached, and of bytes that are no
+  /// answer.
+  void recordFaults(const EndpointName &Id, const HttpFetchResult &Answer);
   boost::asio::awaitable<void> sendOrder(EngineOrder Order);
   [[nodiscard]] std::map<std::string, message::PlaceMessage>
   buildTargets(TimePoint Now, const Catalog &ActiveCatalog) const;
--- a/Libraries/LibFormation/EngineFailureDetector.h
+++ b/Libraries/LibFormation/EngineFailureDetector.h
@@ -113,7 +113,8 @@
   /// The probe timed out, or its connection was lost after it had been made: an
   /// engine over its limit of connections resets them too.
   void probeUnanswered(TimePoint Now, const EndpointName &Id);
-  /// The engine was not probed, which says nothing about it.
+  /// The engine was not probed, or sent bytes that are no answer, which says
+  /// nothing about it.
   void probeSkipped(const EndpointName &Id);
 
   /// \returns the engines that are considered lost at \p Now.
--- a/Tests/LibControl/TestGroupCoordinator.cpp
+++ b/Tests/LibControl/TestGroupCoordinator.cpp
@@ -8,8 +8,7 @@
 
 #include <LibControl/GroupCoordinator.h>
 #include <LibFormation/DispatchTargetMode.h>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio.hpp>
 #include <gtest/gtest.h>
 #include <memory>
 
@@ -91,6 +90,23 @@
     return false;
   }
 
+  void reportEngine(std::string Address) {
+    ASSERT_TRUE(this->Coordinator.recordReport(
+        monotonicNow(),
+        {.Id = "e",
+         .Address = std::move(Address),
+         .Service = "sheets",
+         .StartedAtMs = 1,
+         .Sequence = 1,
+         .Slots = 4,
+         .Group = GroupMembership{.Group = "small.g-1",
+                                  .Epoch = 1,
+                                  .Rank = 0,
+                                  .State = MemberState::Open}}));
+    this->Coordinator.startLeading(monotonicNow(), 1, this->Active,
+                                   monotonicNow());
+  }
+
   asio::io_context Context;
   HostSettings Settings;
   ProbesOnly Protocol;
@@ -104,8 +120,54 @@
                                this->ReachedLimits};
 };
 
+/// Answers each connection with bytes that are no answer.
+class BrokenListener {
+public:
+  explicit BrokenListener(asio::io_context &Context)
+      : Acceptor(Context, {asio::ip::address_v4::loopback(), 0}) {
+    this->accept();
+  }
+  std::string address() {
+    return "127.0.0.1:" +
+           std::to_string(this->Acceptor.local_endpoint().port());
+  }
+
+private:
+  void accept() {
+    this->Acceptor.async_accept(
+        [this](auto Error, asio::ip::tcp::socket Accepted) {
+          if (Error)
+            return;
+          auto Socket =
+              std::make_shared<asio::ip::tcp::socket>(std::move(Accepted));
+          auto Request = std::make_shared<std::array<char, 4096>>();
+          Socket->async_read_some(asio::buffer(*Request),
+                                  [Socket, Request](auto, auto) {
+                                    asio::write(*Socket, asio::buffer(Answer));
+                                  });
+          this->accept();
+        });
+  }
+
+  static constexpr std::string_view Answer = "HTTP/1.1 000 OK\r\n\r\n";
+  asio::ip::tcp::acceptor Acceptor;
+};
+
 } // namespace
 
+// Guards against an engine that is taken for lost, and whose group is taken
+// apart, since its answers to probes are broken.
+TEST_F(GroupCoordinatorTest, BrokenAnswersToProbesAreNoSilence) {
+  BrokenListener Listener(this->Context);
+  this->reportEngine(Listener.address());
+  ASSERT_TRUE(this->runUntil(DispatchTargetMode::Open, seconds(3)));
+  EXPECT_FALSE(this->runUntil(DispatchTargetMode::Stalled, seconds(8)));
+  this->Coordinator.updateMetrics(this->Output);
+  std::string Text = this->Output.render();
+  EXPECT_EQ(Text.find("engines_lost_total"), std::string::npos) << Text;
+  EXPECT_NE(Text.find("broken_answer_status_total"), std::string::npos) << Text;
+}
+
 // Guards against a group that is kept for the engine that it lost by silence,
 // although the engine's address refuses connections by now.
 TEST_F(GroupCoordinatorTest, SilentEngineThatRefusesLaterEndsItsGroup) {
@@ -116,19 +178,7 @@
       asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
   std::string Address =
       "127.0.0.1:" + std::to_string(Listener->local_endpoint().port());
-  ASSERT_TRUE(this->Coordinator.recordReport(
-      monotonicNow(), {.Id = "e",
-                       .Address = Address,
-                       .Service = "sheets",
-                       .StartedAtMs = 1,
-                       .Sequence = 1,
-                       .Slots = 4,
-                       .Group = GroupMembership{.Group = "small.g-1",
-                                                .Epoch = 1,
-                                                .Rank = 0,
-                                                .State = MemberState::Open}}));
-  this->Coordinator.startLeading(monotonicNow(), 1, this->Active,
-                                 monotonicNow());
+  this->reportEngine(Address);
   ASSERT_TRUE(this->runUntil(DispatchTargetMode::Open, seconds(3)));
   ASSERT_TRUE(this->runUntil(DispatchTargetMode::Stalled, seconds(8)));
   Listener.reset();
--- a/Tests/PlatformProcesses/TestBrokenAnswers.cpp
+++ b/Tests/PlatformProcesses/TestBrokenAnswers.cpp
@@ -201,3 +201,17 @@
   EXPECT_EQ(Summary.Faults, std::vector<std::string>());
   EXPECT_EQ(Summary.Events["engine-crashed"], 0U);
 }
+
+// Guards against an engine that is taken for lost since its answers to probes
+// are broken.
+TEST_F(BrokenAnswers, ToProbesAreNoSilence) {
+  std::vector<std::size_t> Plain = this->endpointsOf("plain-");
+  std::span<const std::size_t> Broken(Plain.data(), 1);
+  for (AfterBrokenAnswer After : AllAfter) {
+    this->breakAnswers(Broken, &brokenAnswers()[0], After);
+    this->Deployment.endpoints().stopReports(Broken[0]);
+    std::this_thread::sleep_for(seconds(2));
+  }
+  EXPECT_GT(this->brokenAnswerCount(Broken), 0U);
+  this->expectNoAlarm();
+}
