LibHTTP: Refuse requests whose length is ambiguous

Callers saw nothing; a balancer that frames a request otherwise would have made a host run one that nobody sent: a POST with `Transfer-Encoding: gzip`, `chunked, gzip`, `identity` or a made-up name ran without its body, and what followed on the connection ran as the next request.

Cause: as for responses, nothing judged the head as a whole. Beast takes a transfer coding that does not end with "chunked" for none, so that the request has no body.

Change: HttpServer asks findRequestFault(), the rule that HttpClient uses, before any byte of a body: 400 where "chunked" is not the last coding, comes twice, has a length beside it or is in HTTP/1.0; 501 where other codings come before it. The connection is closed (RFC 9112, sections 6.1 and 6.3). Such a request is logged no more than other malformed ones, as it reaches no limit.

Why it works: a request is handled only if all readers agree where it ends, and after one that is refused nothing is read from its connection.

--- a/Libraries/LibControl/ControlProcess.cpp
+++ b/Libraries/LibControl/ControlProcess.cpp
@@ -148,7 +148,7 @@
 ControlProcess::~ControlProcess() = default;
 
 void ControlProcess::recordRefusal(const HttpRefusal &Refusal) {
-  if (Refusal.Reason != HttpRefusalReason::Malformed)
+  if (isLimit(Refusal.Reason))
     this->Limits.record(httpRefusalReasonName(Refusal.Reason),
                         Refusal.CallerIp);
 }
--- a/Libraries/LibEntry/EntryProcess.cpp
+++ b/Libraries/LibEntry/EntryProcess.cpp
@@ -89,7 +89,7 @@
                  [this] { this->applyLimits(); }) {}
 
 void EntryProcess::recordRefusal(const HttpRefusal &Refusal) {
-  if (Refusal.Reason != HttpRefusalReason::Malformed)
+  if (isLimit(Refusal.Reason))
     this->Limits.record(httpRefusalReasonName(Refusal.Reason),
                         Refusal.CallerIp);
 }
--- a/Libraries/LibHTTP/HttpServer.cpp
+++ b/Libraries/LibHTTP/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <LibHTTP/Address.h>
 #include <LibHTTP/ChunkFraming.h>
 #include <LibHTTP/HttpServer.h>
+#include <LibHTTP/MessageRule.h>
 #include <LibTelemetry/Supervision.h>
 
 #include <algorithm>
@@ -54,6 +55,8 @@
   switch (Reason) {
   case HttpRefusalReason::Malformed:
     return "malformed";
+  case HttpRefusalReason::UnknownCoding:
+    return "unknown-coding";
   case HttpRefusalReason::HeaderBytes:
     return "header-bytes";
   case HttpRefusalReason::HeldBytes:
@@ -70,6 +73,11 @@
   return "unknown";
 }
 
+bool isLimit(HttpRefusalReason Reason) {
+  return Reason != HttpRefusalReason::Malformed &&
+         Reason != HttpRefusalReason::UnknownCoding;
+}
+
 namespace {
 
 /// What the server answers for each reason.
@@ -93,6 +101,8 @@
     return {.Status = 408, .Title = "The request did not arrive in time."};
   case HttpRefusalReason::ProcessBytes:
     return {.Status = 503, .Title = "The host has no memory for the request."};
+  case HttpRefusalReason::UnknownCoding:
+    return {.Status = 501, .Title = "The transfer coding is not known."};
   case HttpRefusalReason::Malformed:
   case HttpRefusalReason::UntakenAnswer:
     break;
@@ -336,6 +346,29 @@
   return Error ? std::string() : Caller.address().to_string();
 }
 
+template <class Fields> static HttpHeaders toHeaders(const Fields &Input) {
+  HttpHeaders Headers;
+  for (const auto &Field : Input)
+    Headers.add(Field.name_string(), Field.value());
+  return Headers;
+}
+
+/// Returns why a request with this head is refused before its body is read.
+static std::optional<HttpRefusalReason>
+judgeHead(const http::request<http::string_body> &Message) {
+  // Most requests have no coding, and their fields need no copy.
+  if (Message.count(http::field::transfer_encoding) == 0)
+    return std::nullopt;
+  HttpVersion Version =
+      Message.version() < 11 ? HttpVersion::Http10 : HttpVersion::Http11;
+  auto Fault = findRequestFault(Version, toHeaders(Message.base()));
+  if (!Fault)
+    return std::nullopt;
+  return Fault->Kind == MessageFaultKind::UnknownCoding
+             ? HttpRefusalReason::UnknownCoding
+             : HttpRefusalReason::Malformed;
+}
+
 /// Reads one request. Returns false if the connection must be closed.
 asio::awaitable<bool> Connection::readRequest() {
   // A request that can't be read is answered too.
@@ -373,10 +406,8 @@
   this->CurrentRequest =
       HttpRequest{.Method = std::string(Message.method_string()),
                   .Target = std::string(Message.target()),
-                  .Headers = {},
+                  .Headers = toHeaders(Message.base()),
                   .Body = std::move(Message.body())};
-  for (const auto &Field : Message)
-    this->CurrentRequest.Headers.add(Field.name_string(), Field.value());
   co_return true;
 }
 
@@ -439,6 +470,9 @@
     // The limit of the parser holds only for what it has not parsed.
     if (IsHead && ParsedBytes > this->HeaderBytes)
       co_return HttpRefusalReason::HeaderBytes;
+    if (IsHead && Parser.is_header_done())
+      if (auto Reason = judgeHead(Parser.get()))
+        co_return Reason;
     if (!this->chargeRequest(Parser, ParsedBytes))
       co_return HttpRefusalReason::ProcessBytes;
     if (Parser.is_done() || (!Error && this->Buffer.size() > 0))
--- a/Libraries/LibHTTP/HttpServer.h
+++ b/Libraries/LibHTTP/HttpServer.h
@@ -27,6 +27,8 @@
 enum class HttpRefusalReason {
   /// Not HTTP, or it broke off (400).
   Malformed,
+  /// It has transfer codings other than "chunked" (501).
+  UnknownCoding,
   /// HttpServerOptions::HeaderBytes, for the head (431).
   HeaderBytes,
   /// HttpServerOptions::HeaderBytes, for a size line or for the fields after
@@ -46,6 +48,9 @@
 /// Returns a name for logs and metrics, such as "header-bytes".
 [[nodiscard]] std::string_view httpRefusalReasonName(HttpRefusalReason Reason);
 
+/// Returns whether the request, or its answer, reached a limit of the server.
+[[nodiscard]] bool isLimit(HttpRefusalReason Reason);
+
 struct HttpRefusal {
   unsigned Status = 0;
   HttpRefusalReason Reason = HttpRefusalReason::Malformed;
--- a/Libraries/LibServe/ServerProcess.cpp
+++ b/Libraries/LibServe/ServerProcess.cpp
@@ -61,7 +61,7 @@
       .Budget = &Budget,
       .TakesWholeBudget = TakesWholeBudget,
       .OnRefused = [&Limits](const HttpRefusal &Refusal) {
-        if (Refusal.Reason != HttpRefusalReason::Malformed)
+        if (isLimit(Refusal.Reason))
           Limits.record(httpRefusalReasonName(Refusal.Reason),
                         Refusal.CallerIp);
       }};
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -227,6 +227,39 @@
         << Case.Bytes.substr(0, 80);
 }
 
+// Guards against a request whose length its readers take differently: what one
+// of them takes for its body, another one runs as a request that nobody sent.
+TEST_F(Http, RequestsOfAmbiguousLengthAreRefusedAndEndTheirConnection) {
+  const std::string Next = "GET /echo HTTP/1.1\r\nConnection: close\r\n\r\n";
+  const std::string Chunks = "3\r\nabc\r\n0\r\n\r\n";
+  struct {
+    std::string Head;
+    std::string Expected;
+  } Cases[] = {
+      {"HTTP/1.1\r\nTransfer-Encoding: gzip", "HTTP/1.1 400"},
+      {"HTTP/1.1\r\nTransfer-Encoding: identity", "HTTP/1.1 400"},
+      {"HTTP/1.1\r\nTransfer-Encoding: made-up", "HTTP/1.1 400"},
+      {"HTTP/1.1\r\nTransfer-Encoding: chunked, gzip", "HTTP/1.1 400"},
+      {"HTTP/1.1\r\nTransfer-Encoding: chunked, chunked", "HTTP/1.1 400"},
+      {"HTTP/1.1\r\nTransfer-Encoding:", "HTTP/1.1 400"},
+      {"HTTP/1.1\r\nTransfer-Encoding: gzip\r\nContent-Length: 3",
+       "HTTP/1.1 400"},
+      {"HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked",
+       "HTTP/1.1 400"},
+      {"HTTP/1.1\r\nTransfer-Encoding: gzip, chunked", "HTTP/1.1 501"},
+      {"HTTP/1.1\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+       "HTTP/1.1 501"},
+  };
+  for (const auto &Case : Cases)
+    for (const std::string &Body : {std::string(), Chunks}) {
+      std::string Head = "POST /echo " + Case.Head + "\r\n\r\n";
+      std::string Response = this->exchangeRaw(Head + Body + Next);
+      EXPECT_TRUE(Response.starts_with(Case.Expected)) << Head << Response;
+      EXPECT_EQ(Response.find("HTTP/1.1", 1), std::string::npos)
+          << Head << Response;
+    }
+}
+
 // Guards against a process that ends because requests on one connection arrive
 // before the one before them is answered: each is monitored by itself.
 TEST_F(Http, RequestsSentAtOnceAreAnsweredInOrder) {
