Soak, Fuzz: Send broken answers, and check what comes of them

Cause: neither drew them, and the fuzz target of answers compared the client with the same parser, which takes status 000 for one of an interim response too. The targets FuzzHttpAnswers and FuzzHttpRequests have the rule of heads written a second time: no head outside it comes out, and no request of ambiguous length is handled.

--- a/Fuzz/FuzzHttpAnswers.cpp
+++ b/Fuzz/FuzzHttpAnswers.cpp
@@ -3,8 +3,9 @@
 /// \file
 /// Lets a peer on loopback write any bytes, in pieces, to a call of HttpClient.
 /// Checks that the call ends with the connection, that the allocated bytes stay
-/// bounded after each piece, and that the call reports a whole answer if and
-/// only if the bytes read at once hold that answer.
+/// bounded after each piece, that the call reports a whole answer if and only
+/// if the bytes read at once hold that answer, and that no head outside the
+/// rule of messages is passed on.
 ///
 //===----------------------------------------------------------------------===//
 
@@ -44,6 +45,25 @@
 };
 } // namespace
 
+/// Returns whether a head is none, by what RFC 9110, section 15, and RFC 9112,
+/// section 6, say of it, without the code under test.
+static bool isBroken(unsigned Version, const HttpResponseHead &Head) {
+  bool HasCoding = Head.Headers.count("Transfer-Encoding") > 0;
+  bool IsBodiless = Head.Status < 200 || Head.Status == 204;
+  bool HasLength = false;
+  for (const HttpHeader &Field : Head.Headers.fields())
+    HasLength = HasLength || (equalIgnoringCase(Field.Name, "Content-Length") &&
+                              Field.Value != "0");
+  if (Head.Status < 100 || Head.Status > 599 || Head.Status == 101)
+    return true;
+  if (IsBodiless && (HasCoding || HasLength))
+    return true;
+  return HasCoding &&
+         (Version < 11 || Head.Headers.count("Transfer-Encoding") > 1 ||
+          !equalIgnoringCase(Head.Headers.value("Transfer-Encoding"),
+                             "chunked"));
+}
+
 /// Reads all that was sent at once.
 static std::optional<WholeAnswer> readAtOnce(std::string_view Bytes,
                                              bool CompleteOnClose) {
@@ -63,6 +83,11 @@
       return std::nullopt;
     if (!Parser.is_header_done())
       return std::nullopt;
+    HttpResponseHead Head{.Status = Parser.get().result_int()};
+    for (const auto &Field : Parser.get())
+      Head.Headers.add(Field.name_string(), Field.value());
+    if (isBroken(Parser.get().version(), Head))
+      return std::nullopt;
     bool IsInterim = Parser.get().result_int() < 200;
     ResponseOwner Owner = ResponseOwner::ThisCall;
     if (!IsInterim)
@@ -136,6 +161,9 @@
   boost::system::error_code Ignored;
   Peer.shutdown(tcp::socket::shutdown_send, Ignored);
   runUntil(context(), [&Result] { return Result.has_value(); });
+  // fetch() keeps the newest head that was passed on.
+  require(!isBroken(11, Result->Head));
+  require(!Result->Fault || Result->Outcome == HttpCallOutcome::Incomplete);
   std::optional<WholeAnswer> Whole = readAtOnce(Sent, CompleteOnClose);
   if (Result->Limit != HttpCallLimit::None) {
     require(Result->Outcome == HttpCallOutcome::Incomplete);
--- a/Fuzz/FuzzHttpRequests.cpp
+++ b/Fuzz/FuzzHttpRequests.cpp
@@ -77,6 +77,17 @@
 
 } // namespace
 
+/// Returns whether the length of a request may be read in several ways, by what
+/// RFC 9112, section 6, says, without the code under test. Fields after the
+/// body are among those of \p Request, but none of them is a coding.
+static bool isAmbiguous(const http::request<http::string_body> &Request) {
+  auto Codings = Request.equal_range(http::field::transfer_encoding);
+  if (Codings.first == Codings.second)
+    return false;
+  return Request.version() < 11 || std::next(Codings.first) != Codings.second ||
+         !boost::beast::iequals(Codings.first->value(), "chunked");
+}
+
 /// Reads all that was sent at once.
 static std::vector<ArrivedRequest> readAtOnce(std::string_view Bytes) {
   std::vector<ArrivedRequest> Result;
@@ -92,7 +103,7 @@
           Parser.put(asio::buffer(Bytes.data(), Bytes.size()), Error);
       Bytes.remove_prefix(Used);
     }
-    if (!Parser.is_done())
+    if (!Parser.is_done() || isAmbiguous(Parser.get()))
       break;
     Result.push_back({.Method = std::string(Parser.get().method_string()),
                       .Target = std::string(Parser.get().target()),
--- a/Libraries/LibStandIn/BrokenAnswer.cpp
+++ b/Libraries/LibStandIn/BrokenAnswer.cpp
@@ -115,7 +115,8 @@
 }
 
 std::string BrokenAnswer::makeFrom(std::string_view Sound) const {
-  if (!Sound.starts_with("HTTP/1.") || Sound.find(HeadEnd) == Sound.npos)
+  if (!Sound.starts_with("HTTP/1.") ||
+      Sound.find(HeadEnd) == std::string_view::npos)
     Sound = OtherAnswer;
   std::size_t BodyAt = Sound.find(HeadEnd) + HeadEnd.size();
   std::string_view Body = Sound.substr(BodyAt);
--- a/Soak/FaultPlan.cpp
+++ b/Soak/FaultPlan.cpp
@@ -12,7 +12,7 @@
 namespace carobhinge {
 
 /// In the order of the enumerators of FaultKind.
-static constexpr std::array<const char *, 26> KindNames = {"kill",
+static constexpr std::array<const char *, 27> KindNames = {"kill",
                                                            "kill and wipe",
                                                            "stop",
                                                            "freeze",
@@ -37,7 +37,8 @@
                                                            "restart of all",
                                                            "change series",
                                                            "disk full",
-                                                           "silence"};
+                                                           "silence",
+                                                           "broken answers"};
 /// The kinds before this one are drawn by the first generator.
 static constexpr auto FirstApart =
     static_cast<std::size_t>(FaultKind::EndlessAnswers);
@@ -47,6 +48,9 @@
 /// In the order of the enumerators of SilenceScope.
 static constexpr std::array<const char *, 3> ScopeNames = {
     "alone", "half of its group", "all of its failure domain"};
+/// In the order of the enumerators of AfterBrokenAnswer.
+static constexpr std::array<const char *, 3> AfterNames = {
+    ", then a close", ", then nothing", ", then an answer"};
 /// In the order of the enumerators of LinkMode.
 static constexpr std::array<const char *, 5> ModeNames = {
     "delayed", "cut", "stalled", "one way", "dark"};
@@ -70,6 +74,9 @@
   if (Each.Kind == FaultKind::EndpointSilence)
     Text +=
         std::string(", ") + ScopeNames[static_cast<std::size_t>(Each.Scope)];
+  if (Each.Kind == FaultKind::BrokenAnswers)
+    Text += ", " + std::string(brokenAnswers()[Each.Form].Name) +
+            std::string(AfterNames[static_cast<std::size_t>(Each.After)]);
   return Text;
 }
 
@@ -288,6 +295,47 @@
   const FaultPlanOptions &Options;
 };
 
+/// Draws up to five endpoints in a row, or all at once, that break their
+/// answers.
+class BrokenAnswerGenerator {
+public:
+  BrokenAnswerGenerator(std::uint64_t Seed, const FaultPlanOptions &Options)
+      : Random(hash64("broken", Seed)), Options(Options) {}
+
+  std::vector<Fault> generate() {
+    std::vector<Fault> Faults;
+    std::size_t Count = 1 + this->randomBelow(5);
+    std::int64_t MaxGapMs = this->randomBelow(2) == 0 ? 1 : 1500;
+    Duration StartTime = this->randomDuration(
+        0, std::chrono::duration_cast<std::chrono::milliseconds>(
+               this->Options.StartWindow)
+               .count());
+    for (std::size_t I = 0; I < Count; ++I) {
+      Fault Each{.StartTime = StartTime, .Kind = FaultKind::BrokenAnswers};
+      Each.Target = this->randomBelow(this->Options.Endpoints);
+      Each.Length = this->randomDuration(500, 4000);
+      Each.Form = this->randomBelow(brokenAnswers().size());
+      Each.After =
+          static_cast<AfterBrokenAnswer>(this->randomBelow(AfterNames.size()));
+      Faults.push_back(Each);
+      StartTime += this->randomDuration(0, MaxGapMs);
+    }
+    return Faults;
+  }
+
+private:
+  /// Returns a number from 0 up to but not including \p Bound.
+  std::size_t randomBelow(std::size_t Bound) { return this->Random() % Bound; }
+  Duration randomDuration(std::int64_t MinMs, std::int64_t MaxMs) {
+    return std::chrono::milliseconds(
+        MinMs + static_cast<std::int64_t>(this->randomBelow(
+                    static_cast<std::size_t>(MaxMs - MinMs))));
+  }
+
+  std::mt19937_64 Random;
+  const FaultPlanOptions &Options;
+};
+
 } // namespace
 
 std::vector<Fault> planFaults(std::uint64_t Seed,
@@ -303,6 +351,8 @@
                     std::back_inserter(Faults));
   std::ranges::move(SilenceGenerator(Seed, Options).generate(),
                     std::back_inserter(Faults));
+  std::ranges::move(BrokenAnswerGenerator(Seed, Options).generate(),
+                    std::back_inserter(Faults));
   std::ranges::stable_sort(Faults, {}, &Fault::StartTime);
   return Faults;
 }
--- a/Soak/FaultPlan.h
+++ b/Soak/FaultPlan.h
@@ -12,6 +12,7 @@
 #define SOAK_FAULTPLAN_H
 
 #include <LibCore/Time.h>
+#include <LibStandIn/BrokenAnswer.h>
 #include <LibStandIn/LinkStandIn.h>
 #include <PlatformWorld/EndpointSimulator.h>
 #include <cstdint>
@@ -71,6 +72,8 @@
   DiskFull,
   /// Endpoints stand still and go on; see SilenceScope.
   EndpointSilence,
+  /// The answers of an endpoint are none.
+  BrokenAnswers,
 };
 
 struct Fault {
@@ -87,8 +90,9 @@
   Duration Delay{};
   /// Which endpoints fall silent.
   SilenceScope Scope = SilenceScope::Alone;
-  /// Index of the form of bytes without end.
+  /// Index of the form of bytes without end, or of broken answers.
   std::size_t Form = 0;
+  AfterBrokenAnswer After = AfterBrokenAnswer::Close;
 };
 
 struct FaultPlanOptions {
@@ -103,8 +107,8 @@
 
 /// Returns the faults in order of their start. Equal seeds and options give
 /// equal plans. The kinds from EndlessAnswers on are drawn apart, DiskFull
-/// again, and EndpointSilence with what overlaps it once more, so that the
-/// others of a seed do not depend on them.
+/// again, EndpointSilence with what overlaps it once more, and so is
+/// BrokenAnswers, so that the others of a seed do not depend on them.
 std::vector<Fault> planFaults(std::uint64_t Seed,
                               const FaultPlanOptions &Options);
 
--- a/Soak/SoakRun.cpp
+++ b/Soak/SoakRun.cpp
@@ -208,6 +208,7 @@
   case FaultKind::EndpointCrash:
   case FaultKind::EndpointSlow:
   case FaultKind::EndlessAnswers:
+  case FaultKind::BrokenAnswers:
     return this->recordEvent(LossCause::Fault, std::nullopt, Now, End);
   case FaultKind::CrashingPrompt:
     return this->recordEvent(LossCause::Fault, std::nullopt, Now,
@@ -275,7 +276,8 @@
 void SoakRun::excuseFrom(const Fault &Each) {
   EndpointSimulator &Endpoints = this->Deployment.endpoints();
   bool IsEndpoint = Each.Kind == FaultKind::EndpointLink ||
-                    Each.Kind == FaultKind::EndlessAnswers;
+                    Each.Kind == FaultKind::EndlessAnswers ||
+                    Each.Kind == FaultKind::BrokenAnswers;
   bool IsHost =
       Each.Kind == FaultKind::Kill || Each.Kind == FaultKind::Stop ||
       Each.Kind == FaultKind::KillAndWipe || Each.Kind == FaultKind::Freeze ||
@@ -354,6 +356,11 @@
     return this->schedule(Each.Length, [&Endpoints, Target] {
       Endpoints.setEndlessAnswers(Target, nullptr);
     });
+  case FaultKind::BrokenAnswers:
+    Endpoints.setBrokenAnswers(Target, &brokenAnswers()[Each.Form], Each.After);
+    return this->schedule(Each.Length, [&Endpoints, Target] {
+      Endpoints.setBrokenAnswers(Target, nullptr);
+    });
   case FaultKind::EndlessRequest:
   case FaultKind::HeldBodies:
     return this->sendWithoutEnd(Each);
--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -252,7 +252,8 @@
   };
   for (const auto &Case : Cases)
     for (const std::string &Body : {std::string(), Chunks}) {
-      std::string Head = "POST /echo " + Case.Head + "\r\n\r\n";
+      std::string Head = "POST /echo ";
+      Head.append(Case.Head).append("\r\n\r\n");
       std::string Response = this->exchangeRaw(Head + Body + Next);
       EXPECT_TRUE(Response.starts_with(Case.Expected)) << Head << Response;
       EXPECT_EQ(Response.find("HTTP/1.1", 1), std::string::npos)
