--- a/Tests/LibHTTP/TestHttp.cpp
+++ b/Tests/LibHTTP/TestHttp.cpp
@@ -254,7 +254,8 @@
     for (const std::string &Body : {std::string(), Chunks}) {
       std::string Head = "POST /echo ";
       Head.append(Case.Head).append("\r\n\r\n");
-      std::string Response = this->exchangeRaw(Head + Body + Next);
+      std::string Sent = Head;
+      std::string Response = this->exchangeRaw(Sent.append(Body).append(Next));
       EXPECT_TRUE(Response.starts_with(Case.Expected)) << Head << Response;
       EXPECT_EQ(Response.find("HTTP/1.1", 1), std::string::npos)
           << Head << Response;
