--- a/Libraries/LibControl/GroupCoordinator.h
+++ b/Libraries/LibControl/GroupCoordinator.h
@@ -111,7 +111,6 @@
   boost::asio::awaitable<void> askEngine(EndpointName Id, std::string Address);
   /// Returns whether \p Order ends the requests in progress at its recipient.
   [[nodiscard]] bool endsRequests(const EngineOrder &Order) const;
-  /// Logs a limit of bytes that ended a call to an endpoint.
   /// Takes note of a limit that the call has reached, and of bytes that are no
   /// answer.
   void recordFaults(const EndpointName &Id, const HttpFetchResult &Answer);
--- a/Libraries/LibServe/FleetManager.cpp
+++ b/Libraries/LibServe/FleetManager.cpp
@@ -56,12 +56,13 @@
 FleetManager::FleetManager(const asio::any_io_executor &Executor,
                            const Settings &LocalSettings,
                            Incarnation LocalIncarnationNumber, Peers &Links,
-                           ControlClient &Control, SharedByteBudget &Budget)
+                           ControlClient &Control, SharedByteBudget &Budget,
+                           LimitLog &Limits)
     : Executor(Executor), Self(LocalSettings.Host),
       FailureDomain(LocalSettings.FailureDomain),
       LocalIncarnationNumber(LocalIncarnationNumber),
       RelayInterval(LocalSettings.Times.AnnounceRelay), Links(Links),
-      Control(Control), Client(Executor, {.Budget = &Budget}),
+      Control(Control), Client(Executor, {.Budget = &Budget}), Limits(Limits),
       Directory(directoryOptions(LocalSettings, Links)),
       Planner(plannerOptions(LocalSettings, Links)) {}
 
@@ -314,6 +315,9 @@
                                     OrderSendResult::Unknown);
     throw;
   }
+  if (Answer.Fault)
+    this->Limits.recordBrokenAnswer(messageFaultName(Answer.Fault->Kind),
+                                    Answer.Fault->Value, Effect.Endpoint);
   OrderSendResult Result = OrderSendResult::Unknown;
   if (Answer.Outcome == HttpCallOutcome::NotWritten)
     Result = OrderSendResult::NotSent;
--- a/Libraries/LibServe/FleetManager.h
+++ b/Libraries/LibServe/FleetManager.h
@@ -16,6 +16,7 @@
 #include <LibIntent/Intent.h>
 #include <LibServe/ControlClient.h>
 #include <LibServe/Peers.h>
+#include <LibTelemetry/LimitReports.h>
 #include <LibWire/WireServer.h>
 #include <mutex>
 
@@ -27,7 +28,8 @@
   FleetManager(const boost::asio::any_io_executor &Executor,
                const Settings &LocalSettings,
                Incarnation LocalIncarnationNumber, Peers &Links,
-               ControlClient &Control, SharedByteBudget &Budget);
+               ControlClient &Control, SharedByteBudget &Budget,
+               LimitLog &Limits);
 
   /// Handles an announcement sent to this host. Adds findings to \p Out.
   void handleAnnouncement(const std::string &Json, Findings &Out);
@@ -89,6 +91,7 @@
   Peers &Links;
   ControlClient &Control;
   HttpClient Client;
+  LimitLog &Limits;
 
   mutable std::mutex Lock;
   EndpointDirectory Directory;
