LibEntry: Log the event for which a stream was given up

Whoever was on call read 'answer unusable' and the last event passed on, which fits bytes that are no answer, an answer to another request and an event that was taken for one after a gap. For the last of them the line of the attempt now gives the reason 'event missing' and the id of that event (refused_event), so that the request's id leads to which id came after which.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -940,11 +940,12 @@
 
 /// Logs an attempt that did not end with an answer from the endpoint.
 void CallerSession::logAttempt(DispatchResult Result) {
-  std::string_view Reason = this->IsSuperseded      ? "place stood still"
-                            : this->IsGivenUp       ? NoMemoryReason
-                            : this->HasBrokenAnswer ? "answer broken"
-                            : this->IsUnusable      ? "answer unusable"
-                            : this->DeadlinePassed  ? "out of time"
+  std::string_view Reason = this->IsSuperseded        ? "place stood still"
+                            : this->IsGivenUp         ? NoMemoryReason
+                            : this->HasBrokenAnswer   ? "answer broken"
+                            : this->Relay.refusedId() ? "event missing"
+                            : this->IsUnusable        ? "answer unusable"
+                            : this->DeadlinePassed    ? "out of time"
                             : this->Exchange.callerDisconnected()
                                 ? "caller gone"
                                 : "";
@@ -965,6 +966,8 @@
        {"leaving", static_cast<std::int64_t>(this->AnswerMetadata.Leaving)},
        {"last_event",
         static_cast<std::int64_t>(this->Relay.lastId().value_or(0))},
+       {"refused_event",
+        static_cast<std::int64_t>(this->Relay.refusedId().value_or(0))},
        {"prompt_parts", formatPromptParts(this->Suspects)},
        {"in_flight", Load.InFlight},
        {"slots", Load.Slots},
--- a/Libraries/LibEntry/EventRelay.cpp
+++ b/Libraries/LibEntry/EventRelay.cpp
@@ -56,6 +56,7 @@
     return false;
   if (this->LastId && *Id != *this->LastId + 1) {
     this->HasGap = true;
+    this->RefusedId = Id;
     return false;
   }
   this->LastId = Id;
--- a/Libraries/LibEntry/EventRelay.h
+++ b/Libraries/LibEntry/EventRelay.h
@@ -32,6 +32,7 @@
     freeStorage(this->Partial);
     this->SearchedBytes = 0;
     this->HasGap = false;
+    this->RefusedId.reset();
     this->IsTooLong = false;
   }
 
@@ -58,6 +59,10 @@
   [[nodiscard]] std::optional<std::uint64_t> lastId() const {
     return this->LastId;
   }
+  /// The id of the event that was taken for one after a gap, or nothing.
+  [[nodiscard]] std::optional<std::uint64_t> refusedId() const {
+    return this->RefusedId;
+  }
   /// \returns whether any event was passed on.
   [[nodiscard]] bool hasStarted() const { return this->HasStarted; }
 
@@ -74,6 +79,7 @@
   std::size_t SearchedBytes = 0;
   std::size_t ReadBytes = 0;
   std::optional<std::uint64_t> LastId;
+  std::optional<std::uint64_t> RefusedId;
   bool HasStarted = false;
   bool HasGap = false;
   bool IsTooLong = false;
