LibHTTP: Find the ends of events by any line end

What callers saw: of a stream whose lines end with a carriage return alone, or whose events end in two different line ends, they got a head and no event, and then a connection that closed. The own path did the same, and counted comments among the events after which a stream is resumed.

Cause: EventRelay and EventSplitter each looked for two line feeds, or for two pairs of carriage return and line feed. text/event-stream ends a line with LF, CR or CRLF, and a block with an empty line, whatever ended the lines before.

Change: EventParser reads line by line, in one place for both paths. A block is complete with the carriage return that ends its empty line; a line feed that comes after it, maybe in the next chunk, belongs to it and shares its fate. It also reads the fields that tell whether a block is an event and which id it has, by the format: an id is the text after one blank, the last one counts, and an id with a NUL is none.

--- a/Libraries/LibEntry/EventRelay.h
+++ b/Libraries/LibEntry/EventRelay.h
@@ -10,7 +10,7 @@
 #ifndef LIBENTRY_EVENTRELAY_H
 #define LIBENTRY_EVENTRELAY_H
 
-#include <LibCore/StringStorage.h>
+#include <LibHTTP/EventParser.h>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,8 +29,8 @@
   /// Prepares for another endpoint that continues the stream after the last
   /// event passed on. Discards a partial event.
   void restart() {
-    freeStorage(this->Partial);
-    this->SearchedBytes = 0;
+    this->Parser.reset();
+    this->PassesOnBlock = false;
     this->HasGap = false;
     this->RefusedId.reset();
     this->IsTooLong = false;
@@ -44,16 +44,20 @@
   /// same endpoint is passed on.
   [[nodiscard]] bool hasGap() const { return this->HasGap; }
   /// \returns whether the bytes so far end inside an event.
-  [[nodiscard]] bool hasPartialEvent() const { return !this->Partial.empty(); }
+  [[nodiscard]] bool hasPartialEvent() const {
+    return this->Parser.hasPartialBlock();
+  }
   /// \returns whether an event was longer than MaxEventBytes.
   [[nodiscard]] bool isTooLong() const { return this->IsTooLong; }
   /// \returns the bytes of the event that is not complete.
   [[nodiscard]] std::size_t partialBytes() const {
-    return this->Partial.size();
+    return this->Parser.partialBytes();
   }
   /// \returns how many bytes were read in search of the ends of events; this
   /// grows in proportion to the bytes from the endpoint.
-  [[nodiscard]] std::size_t readBytes() const { return this->ReadBytes; }
+  [[nodiscard]] std::size_t readBytes() const {
+    return this->Parser.readBytes();
+  }
   /// The id of the last event passed on, or the one after which the caller
   /// resumed.
   [[nodiscard]] std::optional<std::uint64_t> lastId() const {
@@ -67,17 +71,13 @@
   [[nodiscard]] bool hasStarted() const { return this->HasStarted; }
 
 private:
-  /// \returns whether \p Event is to be passed on; updates the last id or the
+  /// \returns whether \p Block is to be passed on; updates the last id or the
   /// gap.
-  bool acceptEvent(std::string_view Event);
-  /// \returns the length of the first whole event from \p Start of Partial on,
-  /// including its empty line, or 0 if there is none.
-  std::size_t findEvent(std::size_t Start);
+  bool acceptBlock(const EventBlock &Block);
 
-  std::string Partial;
-  /// No event ends within so many bytes at the beginning of Partial.
-  std::size_t SearchedBytes = 0;
-  std::size_t ReadBytes = 0;
+  EventParser Parser;
+  /// Of the newest block.
+  bool PassesOnBlock = false;
   std::optional<std::uint64_t> LastId;
   std::optional<std::uint64_t> RefusedId;
   bool HasStarted = false;
--- a/Libraries/LibServe/EventSplitter.h
+++ b/Libraries/LibServe/EventSplitter.h
@@ -10,7 +10,7 @@
 #ifndef LIBSERVE_EVENTSPLITTER_H
 #define LIBSERVE_EVENTSPLITTER_H
 
-#include <LibCore/StringStorage.h>
+#include <LibHTTP/EventParser.h>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -20,26 +20,28 @@
 
 class EventSplitter {
 public:
-  /// Adds bytes and returns the events that they complete, each with its
-  /// terminating empty line. Throws std::length_error if one event exceeds
-  /// MaxEventBytes.
+  /// Adds bytes and returns the events and comments that they complete, each
+  /// with its terminating empty line. Throws std::length_error if one event
+  /// exceeds MaxEventBytes.
   std::string append(std::string_view Bytes);
 
   /// Number of complete events returned so far.
   [[nodiscard]] std::uint32_t count() const { return this->Events; }
 
   /// Discards a partial event that will not be completed.
-  void dropPartial() { freeStorage(this->Partial); }
-  [[nodiscard]] bool hasPartial() const { return !this->Partial.empty(); }
+  void dropPartial() { this->Parser.reset(); }
+  [[nodiscard]] bool hasPartial() const {
+    return this->Parser.hasPartialBlock();
+  }
 
   [[nodiscard]] std::size_t partialBytes() const {
-    return this->Partial.size();
+    return this->Parser.partialBytes();
   }
 
   static constexpr std::size_t MaxEventBytes = 256 * 1024;
 
 private:
-  std::string Partial;
+  EventParser Parser;
   std::uint32_t Events = 0;
 };
 
--- a/Tests/LibEntry/TestEventRelay.cpp
+++ b/Tests/LibEntry/TestEventRelay.cpp
@@ -118,3 +118,29 @@
   Relay.restart();
   EXPECT_EQ(Relay.process(makeEvent(2)), makeEvent(2));
 }
+
+// Guards against a stream of which nothing is passed on since its lines end
+// with a carriage return alone, or in two ways.
+TEST(EventRelay, PassesOnEventsWithAnyLineEnds) {
+  for (std::string_view First : {"\n", "\r", "\r\n"})
+    for (std::string_view Second : {"\n", "\r", "\r\n"}) {
+      // These bytes are one line end.
+      if (First == "\r" && Second == "\n")
+        continue;
+      EventRelay Relay(std::nullopt);
+      std::string Event = "id: 1" + std::string(First) + "data: x" +
+                          std::string(First) + std::string(Second);
+      EXPECT_EQ(Relay.process(Event), Event);
+      EXPECT_FALSE(Relay.hasPartialEvent());
+      EXPECT_EQ(Relay.lastId(), 1U);
+    }
+}
+
+// Guards against an event that comes twice, or loses a byte, since a chunk ends
+// inside the end of a line.
+TEST(EventRelay, LineFeedOfADroppedEventIsDropped) {
+  EventRelay Relay(1);
+  EXPECT_EQ(Relay.process("id: 1\rdata: x\r\r"), "");
+  EXPECT_EQ(Relay.process("\nid: 2\r\n\r"), "id: 2\r\n\r");
+  EXPECT_EQ(Relay.process("\nid: 3\n\n"), "\nid: 3\n\n");
+}
