LibEntry: Take the ids of events for increasing, not for counting by one

Where the ids are no decimal numbers, events were dropped and the answer ended as complete. A caller that came back with an id beyond 64 bits, or with one that is no number, got the stream anew from its beginning.

Cause: EventRelay read ids as numbers of 64 bits and took each one but the last plus one for an event after a gap, and each one up to the last for a repeat, also within one answer. The pages say "a series of events with increasing ids". CallProtocol left out a Last-Event-Id that it couldn't read as such a number.

Change: an id is the endpoint's text. Within one answer nothing is compared: HTTP brings all bytes once and in order. Only an answer that continues another one can repeat or leave out events, and its endpoint was asked to go on after the last id, so what follows that id is next: - ids up to the last one, as decimal numbers of any length, are repeats; - where this host joins the answers, it does so by decimal ids only, and an event that none of them places ends the attempt (rules ORDER and MIXED: pieces of two runs that don't fit are not joined); - where the caller comes back, its endpoint is believed but for repeats; - an event is missing for certain only where all steps before the joint are equal, the one over it is larger, and the next one is that step again. The event behind the joint waits for that next one. Breaking off is better then: the caller can come back after its last event, and a hole in an answer that ends as complete is never found. A larger step of another endpoint alone is no hole: "a single stream event may contain several tokens". The standby's preview continues the relay of its session, and so judges alike. Last-Event-Id is passed on as text, to endpoints and to other entry hosts.

Tests: the simulated endpoints number their streams by one, by seven, by drawn steps and beyond 64 bits, so that every process test and the soak meet them.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -479,7 +479,7 @@
                      .Target = Target,
                      .Request = this->makeEndpointRequest(Target),
                      .RequestId = this->CallerRequest.AttemptId,
-                     .ResumeAfter = this->Relay.lastId(),
+                     .Preview = this->Relay.forContinuation(),
                      .Call = this->makeCallOptions(),
                      .MayDeliver = [this] { return this->acceptStandby(); },
                      .OnEnd =
@@ -632,6 +632,8 @@
 
 void CallerSession::recordCallFaults(std::optional<HttpCallOutcome> End,
                                      const HttpCallControl &Control) {
+  if (End == HttpCallOutcome::Complete)
+    this->Relay.finish();
   // What is no answer, or what no limit of bytes allows, is no sign of a crash.
   if (const std::optional<MessageFault> &Fault = Control.fault()) {
     this->Context.Limits.recordBrokenAnswer(messageFaultName(Fault->Kind),
@@ -683,7 +685,7 @@
     co_return CancelledHere ? NextStep::GiveUp : NextStep::Retry;
   bool IsComplete = End == HttpCallOutcome::Complete && this->HasAnswerHead &&
                     !this->IsUnusable && !this->IsGivenUp &&
-                    !this->Relay.hasGap();
+                    this->Relay.fault() == EventFault::None;
   unsigned Status = this->AnswerHttpHead.Status;
   bool IsOutdated =
       IsComplete &&
@@ -828,7 +830,8 @@
                           : CancelledHere      ? DispatchResult::Cancelled
                           : this->IsSuperseded ? DispatchResult::Superseded
                                                : DispatchResult::Lost;
-  if (IsComplete && isStream(this->Use) && this->Relay.hasGap())
+  if (IsComplete && isStream(this->Use) &&
+      this->Relay.fault() != EventFault::None)
     Result = DispatchResult::Lost;
   bool HasLength = this->AnswerHttpHead.Headers.count("Content-Length") +
                        this->AnswerHttpHead.Headers.count("Transfer-Encoding") >
@@ -907,7 +910,7 @@
   return mayEndAsComplete(this->Use,
                           {.IsComplete = IsComplete,
                            .HasPartialEvent = this->Relay.hasPartialEvent(),
-                           .HasGap = this->Relay.hasGap()});
+                           .HasGap = this->Relay.fault() != EventFault::None});
 }
 
 asio::awaitable<CallerSession::NextStep> CallerSession::finishStream() {
@@ -940,12 +943,13 @@
 
 /// Logs an attempt that did not end with an answer from the endpoint.
 void CallerSession::logAttempt(DispatchResult Result) {
-  std::string_view Reason = this->IsSuperseded        ? "place stood still"
-                            : this->IsGivenUp         ? NoMemoryReason
-                            : this->HasBrokenAnswer   ? "answer broken"
-                            : this->Relay.refusedId() ? "event missing"
-                            : this->IsUnusable        ? "answer unusable"
-                            : this->DeadlinePassed    ? "out of time"
+  std::string_view Reason = this->IsSuperseded      ? "place stood still"
+                            : this->IsGivenUp       ? NoMemoryReason
+                            : this->HasBrokenAnswer ? "answer broken"
+                            : this->Relay.fault() != EventFault::None
+                                ? eventFaultName(this->Relay.fault())
+                            : this->IsUnusable     ? "answer unusable"
+                            : this->DeadlinePassed ? "out of time"
                             : this->Exchange.callerDisconnected()
                                 ? "caller gone"
                                 : "";
@@ -964,10 +968,8 @@
                               ? milliseconds(*this->AnswerMetadata.RetryAfter)
                               : -1},
        {"leaving", static_cast<std::int64_t>(this->AnswerMetadata.Leaving)},
-       {"last_event",
-        static_cast<std::int64_t>(this->Relay.lastId().value_or(0))},
-       {"refused_event",
-        static_cast<std::int64_t>(this->Relay.refusedId().value_or(0))},
+       {"last_event", this->Relay.lastId().value_or("")},
+       {"refused_event", this->Relay.refusedId()},
        {"prompt_parts", formatPromptParts(this->Suspects)},
        {"in_flight", Load.InFlight},
        {"slots", Load.Slots},
@@ -1100,9 +1102,9 @@
     co_return;
   }
   std::string Events = this->Relay.process(Data);
-  if (this->Relay.isTooLong())
+  if (this->Relay.fault() == EventFault::TooLong)
     this->rejectAnswer("event-bytes");
-  else if (this->Relay.hasGap())
+  else if (this->Relay.fault() != EventFault::None)
     this->rejectAnswer();
   std::size_t Partial = this->Relay.partialBytes();
   if ((this->HeldAnswer || Partial > 0) && !this->holdAnswer(Partial))
--- a/Libraries/LibEntry/EndpointProtocol.h
+++ b/Libraries/LibEntry/EndpointProtocol.h
@@ -37,8 +37,9 @@
   /// The parts of the prompt that other requests may share, in order: all but
   /// the last one, and at most MaxSharedParts of them.
   PromptParts SharedParts = {};
-  /// The id of the last event that the caller has, if it resumes a stream.
-  std::optional<std::uint64_t> ResumeAfter = {};
+  /// The id of the last event that the caller has, if it resumes a stream. The
+  /// endpoint chose it, so it may be any text.
+  std::optional<std::string> ResumeAfter = {};
   /// Endpoints that may have run the request before another entry host handed
   /// it on. To be believed from entry hosts only.
   int PossibleRuns = 0;
@@ -55,7 +56,7 @@
   Duration RemainingTime{};
   /// Empty where the request needs no key.
   WorkspaceName Workspace = {};
-  std::optional<std::uint64_t> ResumeAfter = {};
+  std::optional<std::string> ResumeAfter = {};
   /// For entry hosts: endpoints that may have run the request.
   int PossibleRuns = 0;
   /// For entry hosts: the version of the catalog that admitted the request.
--- a/Libraries/LibEntry/StandbyAttempt.cpp
+++ b/Libraries/LibEntry/StandbyAttempt.cpp
@@ -15,8 +15,7 @@
 namespace carobhinge {
 
 StandbyAttempt::StandbyAttempt(SessionContext &Context, StandbyOptions Options)
-    : Context(Context), Options(std::move(Options)),
-      Preview(this->Options.ResumeAfter), Decided(Context.Executor),
+    : Context(Context), Options(std::move(Options)), Decided(Context.Executor),
       Ended(Context.Executor) {}
 
 void StandbyAttempt::start() {
@@ -59,8 +58,12 @@
       std::move(Call), *this, this->Control);
   // A stream that was resumed after its last event has no event.
   if (this->End == HttpCallOutcome::Complete && this->CarriesEvents &&
-      !this->IsPassedOn && !this->IsUnusable)
-    co_await this->handOver();
+      !this->IsPassedOn && !this->IsUnusable) {
+    this->Options.Preview.finish();
+    this->IsUnusable = this->Options.Preview.fault() != EventFault::None;
+    if (!this->IsUnusable)
+      co_await this->handOver();
+  }
 }
 
 asio::awaitable<std::optional<HttpCallOutcome>>
@@ -113,8 +116,8 @@
     co_return co_await this->Receiver->chunk(std::move(Data));
   if (this->IsCancelled || this->IsUnusable || !this->CarriesEvents)
     co_return;
-  bool HasEvent = !this->Preview.process(Data).empty();
-  if (this->Preview.hasGap() || this->Preview.isTooLong()) {
+  bool HasEvent = !this->Options.Preview.process(Data).empty();
+  if (this->Options.Preview.fault() != EventFault::None) {
     this->IsUnusable = true;
     co_return this->Control.cancel();
   }
--- a/Libraries/LibEntry/StandbyAttempt.h
+++ b/Libraries/LibEntry/StandbyAttempt.h
@@ -33,8 +33,8 @@
   HttpRequest Request = {};
   /// Identifies the attempt of the caller, which answers name.
   std::string RequestId = {};
-  /// The last event that was passed on when the standby started.
-  std::optional<std::uint64_t> ResumeAfter = {};
+  /// Detects the first event to pass on.
+  EventRelay Preview = EventRelay();
   HttpCallOptions Call = {};
   /// Called when the standby has an event. Returns whether the session follows
   /// it.
@@ -89,8 +89,6 @@
   SessionContext &Context;
   StandbyOptions Options;
   HttpCallControl Control;
-  /// Detects the first event to pass on.
-  EventRelay Preview;
   HttpResponseHead AnswerHead;
   ResponseMetadata AnswerMetadata;
   bool HasHead = false;
--- a/Tests/LibEntry/TestStandby.cpp
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -20,10 +20,12 @@
 static constexpr std::uint64_t EventCount = 6;
 static constexpr auto Millisecond = std::chrono::milliseconds(1);
 
-static std::string makeEvents(std::uint64_t First, std::uint64_t Last) {
+/// Events \p First to \p Last of a stream whose ids rise by \p Step.
+static std::string makeEvents(std::uint64_t First, std::uint64_t Last,
+                              std::uint64_t Step = 1) {
   std::string Events;
-  for (std::uint64_t Id = First; Id <= Last; ++Id)
-    Events += "id: " + std::to_string(Id) + "\ndata: x\n\n";
+  for (std::uint64_t Number = First; Number <= Last; ++Number)
+    Events += "id: " + std::to_string(Number * Step) + "\ndata: x\n\n";
   return Events;
 }
 
@@ -37,7 +39,7 @@
   HttpRequest makeEndpointRequest(const HttpRequest &Call,
                                   const DispatchMetadata &Data) const override {
     HttpRequest Request = Call;
-    Request.Headers.add("Resume", std::to_string(Data.ResumeAfter.value_or(0)));
+    Request.Headers.add("Resume", Data.ResumeAfter.value_or("0"));
     return Request;
   }
   HttpRequest makePeerRequest(const HttpRequest &Call,
@@ -119,7 +121,8 @@
     this->IsActive = true;
     Exchange.onCallerDisconnected([this] { this->wake(); });
     std::uint64_t Next =
-        std::stoull(std::string(Exchange.request().Headers.value("Resume"))) +
+        std::stoull(std::string(Exchange.request().Headers.value("Resume"))) /
+            this->IdStep +
         1;
     HttpResponseHead Head;
     co_await Exchange.startStream(Head);
@@ -127,7 +130,7 @@
       this->Wakeup.reset();
       std::uint64_t Last = std::min(this->Allowed, EventCount);
       if (Last >= Next) {
-        std::string Events = makeEvents(Next, Last);
+        std::string Events = makeEvents(Next, Last, this->IdStep);
         Next = Last + 1;
         co_await Exchange.writeChunk(Events);
       }
@@ -149,6 +152,7 @@
   void wake() { this->Wakeup.fire(); }
 
   Signal Wakeup;
+  std::uint64_t IdStep = 1;
   std::uint64_t Allowed = 0;
   bool MustBreakOff = false;
   bool IsActive = false;
@@ -224,7 +228,9 @@
         },
         [this](const std::exception_ptr &) { this->IsOver = true; });
     this->Engines[0].allow(2);
-    this->runUntil([this] { return this->Caller.Body == makeEvents(1, 2); });
+    this->runUntil([this] {
+      return this->Caller.Body == makeEvents(1, 2, this->Engines[0].IdStep);
+    });
   }
   /// Starts a standby at the second engine, too.
   void startBoth() {
@@ -257,7 +263,8 @@
   }
   void expectWholeAnswer() {
     this->expectNothingLeft();
-    EXPECT_EQ(this->Caller.Body, makeEvents(1, EventCount));
+    EXPECT_EQ(this->Caller.Body,
+              makeEvents(1, EventCount, this->Engines[0].IdStep));
     EXPECT_TRUE(this->Caller.IsFinished);
     EXPECT_EQ(this->Caller.Heads, 1);
   }
@@ -299,6 +306,16 @@
   this->expectWholeAnswer();
 }
 
+/// Guards against a stream that is broken off since the ids of its events don't
+/// count by one, where one engine goes on after another and beside it.
+TEST_F(Standby, GoesOnAfterIdsOfAnyStep) {
+  for (TestEngine &Engine : this->Engines)
+    Engine.IdStep = 7;
+  this->startBoth();
+  this->Engines[1].allow(EventCount);
+  this->expectWholeAnswer();
+}
+
 TEST_F(Standby, IsCancelledOnceTheFirstAttemptSpeaks) {
   this->startBoth();
   this->Engines[0].allow(3);
@@ -394,6 +411,8 @@
 
 TEST_P(StandbyProperty, PassesOnEachEventOnce) {
   std::mt19937 Random(GetParam());
+  for (TestEngine &Engine : this->Engines)
+    Engine.IdStep = GetParam() % 2 == 0 ? 1 : 7;
   this->startBoth();
   for (int Step = 0; Step < 12 && !this->IsOver; ++Step) {
     TestEngine &Engine = this->Engines[Random() % 2];
@@ -416,7 +435,7 @@
   for (TestEngine &Engine : this->Engines)
     Engine.allow(EventCount);
   this->expectNothingLeft();
-  std::string Whole = makeEvents(1, EventCount);
+  std::string Whole = makeEvents(1, EventCount, this->Engines[0].IdStep);
   EXPECT_TRUE(Whole.starts_with(this->Caller.Body)) << this->Caller.Body;
   EXPECT_TRUE(!this->Caller.IsFinished || this->Caller.Body == Whole);
 }
--- a/Tests/Platform/TestDecoders.cpp
+++ b/Tests/Platform/TestDecoders.cpp
@@ -185,7 +185,7 @@
   DispatchMetadata Metadata{.ExpectedEndpoint = "i-1",
                             .RemainingTime = std::chrono::milliseconds(1234),
                             .Workspace = "t",
-                            .ResumeAfter = 12};
+                            .ResumeAfter = "12"};
   HttpRequest Sent = Protocol.makeEndpointRequest(Call, Metadata);
   EXPECT_EQ(Sent.Headers.count(KeyField), 0U);
   EXPECT_EQ(Sent.Headers.count(WorkspaceField), 1U);
@@ -198,6 +198,26 @@
   EXPECT_EQ(Sent.Body, "b");
 }
 
+// Guards against a stream that begins anew for a caller who resumes it, since
+// the id of its last event isn't a number of 64 bits and is left out.
+TEST(CallProtocol, PassesOnAnyIdAfterWhichAStreamIsResumed) {
+  CallProtocol Protocol;
+  for (std::string_view Id :
+       {"12", "007", "18446744073709551616", "1526-0", "1.2", "a b"}) {
+    HttpRequest Call{.Method = "POST", .Target = "/p/1"};
+    Call.Headers.add(ResumeField, Id);
+    DispatchMetadata Metadata{.ResumeAfter =
+                                  Protocol.readCall(Call).ResumeAfter};
+    for (const HttpRequest &Sent :
+         {Protocol.makeEndpointRequest(Call, Metadata),
+          Protocol.makePeerRequest(Call, Metadata)}) {
+      EXPECT_EQ(Sent.Headers.count(ResumeField), 1U);
+      EXPECT_EQ(Sent.Headers.value(ResumeField), Id);
+    }
+  }
+  EXPECT_FALSE(Protocol.readCall({.Method = "POST"}).ResumeAfter);
+}
+
 // Guards against a request that is handed on and runs at more endpoints than
 // its route allows, since each host counts for itself.
 TEST(CallProtocol, TellsTheNextEntryHostHowOftenARequestMayHaveRun) {
--- a/Tests/PlatformWorld/ExpectedAnswer.h
+++ b/Tests/PlatformWorld/ExpectedAnswer.h
@@ -18,10 +18,36 @@
 /// The number of tokens in each event of a stream.
 inline constexpr int StandInTokensPerEvent = 4;
 
+/// How the ids of a stream rise from one event to the next.
+enum class EventIdForm { ByOne, BySeven, ByDrawnSteps, Beyond64Bits };
+
+inline EventIdForm eventIdForm(const std::string &AttemptId) {
+  return static_cast<EventIdForm>(hash64(AttemptId) % 4);
+}
+
+/// The id of event \p Event of a stream; the first is number 1.
+inline std::string expectedEventId(const std::string &AttemptId,
+                                   std::uint64_t Event) {
+  static constexpr std::uint64_t MeanStep = 1'000'000'007;
+  std::uint64_t Drawn = Event * MeanStep + hash64(AttemptId, Event) % MeanStep;
+  switch (eventIdForm(AttemptId)) {
+  case EventIdForm::ByOne:
+    return std::to_string(Event);
+  case EventIdForm::BySeven:
+    return std::to_string(Event * 7);
+  case EventIdForm::ByDrawnSteps:
+    return std::to_string(Drawn);
+  case EventIdForm::Beyond64Bits:
+    break;
+  }
+  // The second numbers are all equally long.
+  return "18446744073709551616" + std::to_string(MeanStep * 1000 + Drawn);
+}
+
 /// The text of event \p Event of a stream; the first is number 1.
 inline std::string expectedEvent(const std::string &AttemptId,
                                  std::uint64_t Event) {
-  return "id: " + std::to_string(Event) +
+  return "id: " + expectedEventId(AttemptId, Event) +
          "\ndata: " + digest(AttemptId + "#" + std::to_string(Event)) + "\n\n";
 }
 
--- a/Tests/PlatformWorld/PlatformEndpoint.cpp
+++ b/Tests/PlatformWorld/PlatformEndpoint.cpp
@@ -456,6 +456,16 @@
   return Value;
 }
 
+/// \returns how many events of the answer to \p AttemptId its caller has, by
+/// the id of the last one; 0 if it names none of them.
+static int eventsUntil(const std::string &AttemptId, std::string_view LastId) {
+  static constexpr int MaxEvents = 1000;
+  for (int Event = 1; !LastId.empty() && Event <= MaxEvents; ++Event)
+    if (expectedEventId(AttemptId, static_cast<std::uint64_t>(Event)) == LastId)
+      return Event;
+  return 0;
+}
+
 asio::awaitable<void>
 PlatformEndpoint::handleGeneration(HttpExchange &Exchange) {
   const HttpHeaders &Fields = Exchange.request().Headers;
@@ -478,7 +488,9 @@
   }
   std::string_view Tokens = Fields.value(platform::TokensField);
   std::size_t Comma = std::min(Tokens.find(','), Tokens.size());
-  int ResumedEvents = numberAt(Fields.value(platform::ResumeField), 0, 0);
+  int ResumedEvents =
+      eventsUntil(std::string(Fields.value(platform::AttemptIdField)),
+                  Fields.value(platform::ResumeField));
   int AnswerTokens = numberAt(Tokens, Comma + 1, 1);
   if (ResumedEvents > 0 &&
       ResumedEvents * StandInTokensPerEvent >= AnswerTokens) {
