LibEntry: Don't continue a stream after an event without an id

Cause: the session took the route's word for it that a stream may be resumed, and the relay's last id for the place, which is none, or an earlier one.

Change: another endpoint continues a stream only if nothing was passed on, or if the ids passed on are increasing decimal numbers and the last event has one (EventRelay::canContinue()).

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -43,6 +43,8 @@
     "engines crash on this request";
 static constexpr std::string_view NoMemoryReason =
     "the host holds too many requests and answers";
+static constexpr std::string_view NoPositionReason =
+    "no id tells where the stream goes on";
 static constexpr std::string_view HeldBackReason =
     "an engine crashed on such a request, which is being judged";
 
@@ -312,6 +314,8 @@
       Next = co_await this->followStandby();
       continue;
     }
+    if (!this->Relay.canContinue())
+      co_return co_await this->endWithoutAnswer(NoPositionReason);
     if (this->AttemptCount >= MaxAttempts)
       co_return co_await this->endWithoutAnswer("too many attempts");
     if (PromptParts Parts = this->findRefusedParts(); !Parts.empty()) {
@@ -440,7 +444,7 @@
   StandbyFacts Facts{
       .Silence = State.RequestDispatcher.silence(Now, this->CurrentAttempt),
       .IsStalled = IsStalled,
-      .IsResumable = this->MatchedRoute->Resumable,
+      .IsResumable = this->MatchedRoute->Resumable && this->Relay.canContinue(),
       .PossibleRuns = this->PossibleRuns + 1,
       .EndpointsPerRequest = this->MatchedRoute->EndpointsPerRequest,
       .RemainingTime = this->remainingTime(),
--- a/Tests/LibEntry/TestStandby.cpp
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -20,12 +20,14 @@
 static constexpr std::uint64_t EventCount = 6;
 static constexpr auto Millisecond = std::chrono::milliseconds(1);
 
-/// Events \p First to \p Last of a stream whose ids rise by \p Step.
+/// Events \p First to \p Last of a stream whose ids rise by \p Step; 0 for one
+/// without ids.
 static std::string makeEvents(std::uint64_t First, std::uint64_t Last,
                               std::uint64_t Step = 1) {
   std::string Events;
   for (std::uint64_t Number = First; Number <= Last; ++Number)
-    Events += "id: " + std::to_string(Number * Step) + "\ndata: x\n\n";
+    Events += (Step > 0 ? "id: " + std::to_string(Number * Step) + "\n" : "") +
+              "data: x\n\n";
   return Events;
 }
 
@@ -119,10 +121,11 @@
       ~ActiveGuard() { this->IsActive = false; }
     } Guard{this->IsActive};
     this->IsActive = true;
+    ++this->Requests;
     Exchange.onCallerDisconnected([this] { this->wake(); });
     std::uint64_t Next =
         std::stoull(std::string(Exchange.request().Headers.value("Resume"))) /
-            this->IdStep +
+            std::max<std::uint64_t>(this->IdStep, 1) +
         1;
     HttpResponseHead Head;
     co_await Exchange.startStream(Head);
@@ -154,6 +157,7 @@
   Signal Wakeup;
   std::uint64_t IdStep = 1;
   std::uint64_t Allowed = 0;
+  int Requests = 0;
   bool MustBreakOff = false;
   bool IsActive = false;
   HttpServer Server;
@@ -316,6 +320,24 @@
   this->expectWholeAnswer();
 }
 
+/// Guards against events that come twice, and against work in vain, since a
+/// stream without ids can only be begun anew at the next engine.
+TEST_F(Standby, StreamWithoutIdsIsNotContinued) {
+  for (TestEngine &Engine : this->Engines)
+    Engine.IdStep = 0;
+  this->startFirst();
+  this->list(1);
+  this->Engines[1].allow(EventCount);
+  ASSERT_EQ(this->Shared.StandbyCallbacks.size(), 1U);
+  this->Shared.StandbyCallbacks.begin()->second(/*IsStalled=*/true);
+  this->runFor(20 * Millisecond);
+  this->Engines[0].breakOff();
+  this->expectNothingLeft();
+  EXPECT_EQ(this->Engines[1].Requests, 0);
+  EXPECT_EQ(this->Caller.Body, makeEvents(1, 2, 0));
+  EXPECT_FALSE(this->Caller.IsFinished);
+}
+
 TEST_F(Standby, IsCancelledOnceTheFirstAttemptSpeaks) {
   this->startBoth();
   this->Engines[0].allow(3);
