--- a/Tests/LibHTTP/TestEventParser.cpp
+++ b/Tests/LibHTTP/TestEventParser.cpp
@@ -139,3 +139,40 @@
   }
   RC_ASSERT(!Parser.hasPartialBlock());
 }
+
+/// Whatever bytes come: none is lost, and the blocks don't depend on how the
+/// bytes are split into chunks.
+RC_GTEST_PROP(EventParser, ChunksDecideNothing, ()) {
+  static constexpr std::string_view Alphabet = "\r\n\r\n: idata0\xEF\xBB\xBF";
+  auto Length = *rc::gen::inRange<std::size_t>(0, 60);
+  std::string All;
+  for (std::size_t I = 0; I < Length; ++I)
+    All += Alphabet[*rc::gen::inRange<std::size_t>(0, Alphabet.size())];
+  EventParser AtOnce;
+  std::vector<ParsedBlock> Expected = parseAll(AtOnce, All);
+  EventParser InChunks;
+  std::vector<ParsedBlock> Found;
+  std::size_t Bytes = 0;
+  for (std::string_view Rest = All; !Rest.empty();) {
+    auto Chunk = *rc::gen::inRange<std::size_t>(1, Rest.size() + 1);
+    InChunks.parse(Rest.substr(0, Chunk), [&](const EventBlock &Block) {
+      Bytes += Block.Bytes.size();
+      if (Block.IsRestOfLineEnd)
+        Found.back().Bytes += Block.Bytes;
+      else
+        Found.push_back({.Bytes = std::string(Block.Bytes),
+                         .IsEvent = Block.IsEvent,
+                         .Id = Block.Id ? std::optional<std::string>(*Block.Id)
+                                        : std::nullopt});
+    });
+    Rest.remove_prefix(Chunk);
+  }
+  RC_ASSERT(Bytes + InChunks.partialBytes() == All.size());
+  RC_ASSERT(AtOnce.partialBytes() == InChunks.partialBytes());
+  RC_ASSERT(Found.size() == Expected.size());
+  for (std::size_t I = 0; I < Found.size(); ++I) {
+    RC_ASSERT(Found[I].Bytes == Expected[I].Bytes);
+    RC_ASSERT(Found[I].IsEvent == Expected[I].IsEvent);
+    RC_ASSERT(Found[I].Id == Expected[I].Id);
+  }
+}
