LibEntry: Judge an event after one whose id was not kept

A caller resumes after an id and gets an event with an id of more than 256 bytes: the relay doesn't keep that id, and compared the next event with one that isn't there. A byte order mark of an answer that goes on was kept in an event that waited for the next one.

Change: an event with nothing to compare it with has an unknown position; the mark is taken off before an event waits.

--- a/Libraries/LibEntry/EventRelay.cpp
+++ b/Libraries/LibEntry/EventRelay.cpp
@@ -98,7 +98,7 @@
   // The relay has the order of its own ids only. What the caller joins is the
   // caller's to judge, but for what is certain to be a repeat.
   bool IsOwn = this->Joint == JointKind::Relay;
-  if (!Event.Id || Event.Id->size() > MaxIdBytes) {
+  if (!Event.Id || Event.Id->size() > MaxIdBytes || !this->LastId) {
     if (IsOwn)
       this->refuse(EventFault::UnknownPosition, Event.Id);
     return !IsOwn;
@@ -158,7 +158,7 @@
   this->LastId = *Id;
 }
 
-void EventRelay::handleBlock(const EventBlock &Block, std::string &Output) {
+void EventRelay::handleBlock(EventBlock Block, std::string &Output) {
   if (this->Fault != EventFault::None)
     return;
   if (Block.IsRestOfLineEnd) {
@@ -168,6 +168,9 @@
       this->Doubted += Block.Bytes;
     return;
   }
+  // Behind the first byte of a stream the mark would be part of a field.
+  if (Block.HasByteOrderMark && this->HasBlock)
+    Block.Bytes.remove_prefix(EventParser::ByteOrderMark.size());
   if (Block.IsEvent && !this->Doubted.empty())
     this->settleDoubt(Block, Output);
   if (this->Fault != EventFault::None)
@@ -176,11 +179,7 @@
                         this->isNextAtJoint(Block);
   if (!this->PassesOnBlock)
     return;
-  std::string_view Bytes = Block.Bytes;
-  // Behind the first byte of a stream the mark would be part of a field.
-  if (Block.HasByteOrderMark && this->HasBlock)
-    Bytes.remove_prefix(EventParser::ByteOrderMark.size());
-  Output += Bytes;
+  Output += Block.Bytes;
   this->HasBlock = true;
   if (Block.IsEvent)
     this->recordEvent(Block.Id);
--- a/Libraries/LibEntry/EventRelay.h
+++ b/Libraries/LibEntry/EventRelay.h
@@ -108,7 +108,7 @@
     Relay,
   };
 
-  void handleBlock(const EventBlock &Block, std::string &Output);
+  void handleBlock(EventBlock Block, std::string &Output);
   /// \returns whether \p Event, the newest of an answer that continues another
   /// one, is passed on now.
   bool isNextAtJoint(const EventBlock &Event);
--- a/Tests/LibEntry/TestEventRelay.cpp
+++ b/Tests/LibEntry/TestEventRelay.cpp
@@ -149,6 +149,24 @@
   EXPECT_EQ(Relay.process(Mark + makeEvent(1)), Mark + makeEvent(1));
   Relay.restart();
   EXPECT_EQ(Relay.process(Mark + makeEvent(2)), makeEvent(2));
+  Relay.process(makeEvent(3));
+  Relay.restart();
+  EXPECT_EQ(Relay.process(Mark + makeEvent(5)), "");
+  EXPECT_EQ(Relay.process(makeEvent(9)), makeEvent(5) + makeEvent(9));
+}
+
+// Guards against an id without end that is kept for each stream, and against
+// one that is compared after it was not kept.
+TEST(EventRelay, IdThatIsTooLongIsNotKept) {
+  const std::string Event =
+      "id: " + std::string(EventRelay::MaxIdBytes + 1, '9') + "\ndata: x\n\n";
+  EventRelay Relay("5");
+  EXPECT_EQ(Relay.process(Event + makeEvent(7)), Event + makeEvent(7));
+  EXPECT_FALSE(Relay.canContinue());
+  Relay.restart();
+  EXPECT_EQ(Relay.process(Event), "");
+  EXPECT_EQ(Relay.fault(), EventFault::UnknownPosition);
+  EXPECT_EQ(Relay.refusedId().size(), EventRelay::MaxIdBytes);
 }
 
 TEST(EventRelay, IdsAreComparedAsDecimalNumbers) {
