Tests: Wait for the streams of each model in EventIds

Cause: set-up waited until one stream was answered. The model of a call is drawn, and engines of one model may be ready before those of the other. Traced in one of 30 runs by hand, ten at once beside a sanitized build: the log has "no place" for "threes" 0.26 s after the first answer of "pairs", and none afterwards. The refusals are truthful; no stream was broken off.

--- a/Tests/PlatformProcesses/TestEventIds.cpp
+++ b/Tests/PlatformProcesses/TestEventIds.cpp
@@ -21,10 +21,15 @@
 protected:
   void SetUp() override {
     this->Deployment.start();
-    PlatformDeployment::waitFor("streams are answered", [this] {
-      return this->Caller.callOnce(FirstEntryHost, CallKind::Stream) ==
-             CallEnd::Answered;
-    });
+    this->waitForStreams(FirstEntryHost);
+  }
+  /// Engines of one model may be ready before those of the other.
+  void waitForStreams(std::size_t Host) {
+    for (std::string_view Model : {"threes", "pairs"})
+      PlatformDeployment::waitFor("streams are answered", [&] {
+        return this->Caller.callOnce(Host, CallKind::Stream,
+                                     {.Model = Model}) == CallEnd::Answered;
+      });
   }
   /// Enough for each form of ids to be among them.
   void expectWholeStreams(std::size_t Host) {
@@ -50,10 +55,7 @@
 // Guards against the same where two entry hosts in a row pass events on.
 TEST_F(EventIds, OfAnyStepLeaveStreamsThroughAnotherHostWhole) {
   this->Deployment.setEndpointLinks(FirstEntryHost, LinkMode::Cut);
-  PlatformDeployment::waitFor("another host serves the streams", [this] {
-    return this->Caller.callOnce(FirstEntryHost, CallKind::Stream) ==
-           CallEnd::Answered;
-  });
+  this->waitForStreams(FirstEntryHost);
   this->expectWholeStreams(FirstEntryHost);
 }
 
--- a/Tests/PlatformWorld/PlatformVerifyingCaller.cpp
+++ b/Tests/PlatformWorld/PlatformVerifyingCaller.cpp
@@ -107,8 +107,10 @@
   Request.Headers.add(platform::DeadlineField,
                       std::to_string(milliseconds(Timeout)));
   if (Streams) {
-    Request.Headers.add(platform::ModelField,
-                        Random() % 2 == 0 ? "threes" : "pairs");
+    std::string_view Drawn = Random() % 2 == 0 ? "threes" : "pairs";
+    Request.Headers.add(
+        platform::ModelField,
+        std::string(Details.Model.empty() ? Drawn : Details.Model));
     Request.Headers.add(platform::TokensField,
                         std::to_string(Prompt) + "," +
                             std::to_string(Events * StandInTokensPerEvent));
--- a/Tests/PlatformWorld/PlatformVerifyingCaller.h
+++ b/Tests/PlatformWorld/PlatformVerifyingCaller.h
@@ -40,6 +40,8 @@
   std::string_view ExtraPart = {};
   /// Query of the target, with its question mark.
   std::string_view Query = {};
+  /// The model of a stream; drawn if it is empty.
+  std::string_view Model = {};
   /// The caller keeps its connection from one call to the next.
   bool KeepsConnection = false;
 };
