PlatformWorld: Don't count orders as requests of callers

Cause: a fault of the check.

Change: orders and probes, and the answers to them, count no more in the records of endpoints that leave. Callers' requests count as before, also those after an order; orders still count in the pauses.

--- a/Tests/PlatformWorld/EndpointSimulator.cpp
+++ b/Tests/PlatformWorld/EndpointSimulator.cpp
@@ -213,6 +213,10 @@
   return this->Endpoints.at(Index)->domain();
 }
 
+const std::string &EndpointSimulator::address(std::size_t Index) const {
+  return this->Endpoints.at(Index)->address();
+}
+
 void EndpointSimulator::leaveInAnswersOnly(std::size_t Index) {
   this->call(Index, &PlatformEndpoint::leaveInAnswersOnly);
 }
--- a/Tests/PlatformWorld/EndpointSimulator.h
+++ b/Tests/PlatformWorld/EndpointSimulator.h
@@ -142,8 +142,9 @@
   /// From now on endpoint \p Index says in its answers that it leaves, while
   /// its heartbeats go on to say that it is ready.
   void leaveInAnswersOnly(std::size_t Index);
-  /// Requests that such endpoints got from a host later than \p Grace after
-  /// that host had received such an answer.
+  /// Callers' requests that such endpoints got from a host later than \p Grace
+  /// after that host had received such an answer to a caller's request. Orders
+  /// and probes are none.
   [[nodiscard]] std::size_t arrivalsAfterLeaving(Duration Grace) const {
     return this->describeArrivalsAfterLeaving(Grace).size();
   }
@@ -156,6 +157,8 @@
   [[nodiscard]] unsigned arrivals(std::size_t Index) const;
   [[nodiscard]] const EndpointName &name(std::size_t Index) const;
   [[nodiscard]] const FailureDomainName &domain(std::size_t Index) const;
+  /// "IP:PORT" of the link through which endpoint \p Index is reached.
+  [[nodiscard]] const std::string &address(std::size_t Index) const;
   /// From now on an engine crashes when it begins to write an answer to a
   /// prompt with \p Part ("ID", hexadecimal), and restarts after a while.
   void setCrashingPart(std::string Part);
--- a/Tests/PlatformWorld/PlatformEndpoint.cpp
+++ b/Tests/PlatformWorld/PlatformEndpoint.cpp
@@ -327,9 +327,15 @@
     this->recordSaidLeaving(Exchange, Fields);
 }
 
+/// Orders and probes of the control hosts, which no caller has sent.
+static bool isControlRequest(const HttpRequest &Request) {
+  return Request.path() == "/order" || Request.path() == "/report";
+}
+
 void PlatformEndpoint::recordSaidLeaving(const HttpExchange &Exchange,
                                          const HttpHeaders &Answer) {
-  if (!this->LeavesInAnswers || Answer.count(platform::LeavingField) == 0)
+  if (!this->LeavesInAnswers || Answer.count(platform::LeavingField) == 0 ||
+      isControlRequest(Exchange.request()))
     return;
   std::lock_guard Guard(this->Endpoints.ArrivalLock);
   this->Endpoints.Leavings.try_emplace(
@@ -352,7 +358,8 @@
                         : this->Endpoints.RequestedPause.load();
   std::lock_guard Guard(this->Endpoints.ArrivalLock);
   if (auto Leaving = this->Endpoints.Leavings.find(Pair);
-      Leaving != this->Endpoints.Leavings.end())
+      Leaving != this->Endpoints.Leavings.end() &&
+      !isControlRequest(Exchange.request()))
     Leaving->second.Arrivals.push_back(
         {.At = Now,
          .Request =
@@ -379,8 +386,7 @@
   std::string_view Expected = Request.Headers.value(platform::ExpectedField);
   if (!Expected.empty() && Expected != this->Id)
     co_return co_await this->refuse(Exchange, 421);
-  bool IsControl = Request.path() == "/order" || Request.path() == "/report";
-  if (IsControl)
+  if (isControlRequest(Request))
     if (Duration Pause = this->recordArrivalFrom(Exchange);
         Pause > Duration::zero())
       co_return co_await this->refuse(Exchange, 503, Pause);
--- a/Tests/PlatformWorld/PlatformEndpoint.h
+++ b/Tests/PlatformWorld/PlatformEndpoint.h
@@ -34,6 +34,7 @@
   void fallSilent(Duration Length);
   [[nodiscard]] const EndpointName &id() const { return this->Id; }
   [[nodiscard]] const FailureDomainName &domain() const { return this->Domain; }
+  [[nodiscard]] const std::string &address() const { return this->LinkAddress; }
   void leaveInAnswersOnly() {
     this->LeavesInAnswers = true;
     this->Endpoints.recordLife(this->Id, false);
@@ -85,7 +86,8 @@
   /// served.
   [[nodiscard]] Duration recordArrivalFrom(const HttpExchange &Exchange);
   /// The sender of \p Exchange has got an answer with the fields \p Answer,
-  /// which may say that this endpoint leaves.
+  /// which may say that this endpoint leaves. Answers to orders and probes
+  /// don't count, as their sender passes them on to nobody.
   void recordSaidLeaving(const HttpExchange &Exchange,
                          const HttpHeaders &Answer);
   /// The fields of each answer to \p Request.
