LibTelemetry: Write fields that are no UTF-8 as escaped text

A line was as long as a caller's Last-Event-Id.

Cause: formatLogLine() handed the text of a field to Boost.JSON, which escapes control characters and quotes and passes on all other bytes.

Change: a field that is no UTF-8 is written by escapeBytes(), whichever event it belongs to, so no caller of logEvent() has to think of it. printableBytes() of LibHTTP uses the same function. last_event and refused_event are cut after 64 bytes.

--- a/Libraries/LibCore/Utf8.cpp
+++ b/Libraries/LibCore/Utf8.cpp
@@ -1,4 +1,4 @@
-//===- LibCore/Utf8.cpp - Whether bytes are text --------------------------===//
+//===- LibCore/Utf8.cpp - Bytes and text ----------------------------------===//
 
 #include <LibCore/Utf8.h>
 
@@ -50,4 +50,20 @@
   return true;
 }
 
+std::string escapeBytes(std::string_view Bytes) {
+  static constexpr std::string_view Digits = "0123456789abcdef";
+  std::string Text;
+  for (char Each : Bytes) {
+    auto Byte = static_cast<unsigned char>(Each);
+    if (Byte >= ' ' && Byte < 0x7f && Each != '\\') {
+      Text += Each;
+      continue;
+    }
+    Text += "\\x";
+    Text += Digits[Byte / 16];
+    Text += Digits[Byte % 16];
+  }
+  return Text;
+}
+
 } // namespace carobhinge
--- a/Libraries/LibCore/Utf8.h
+++ b/Libraries/LibCore/Utf8.h
@@ -1,8 +1,9 @@
-//===- LibCore/Utf8.h - Whether bytes are text ----------------------------===//
+//===- LibCore/Utf8.h - Bytes and text ------------------------------------===//
 
 #ifndef LIBCORE_UTF8_H
 #define LIBCORE_UTF8_H
 
+#include <string>
 #include <string_view>
 
 namespace carobhinge {
@@ -12,6 +13,10 @@
 /// not read again.
 [[nodiscard]] bool isUtf8(std::string_view Bytes);
 
+/// \returns \p Bytes as text: printable ASCII as it is, all else and the
+/// backslash as "\xNN".
+[[nodiscard]] std::string escapeBytes(std::string_view Bytes);
+
 } // namespace carobhinge
 
 #endif // LIBCORE_UTF8_H
--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -972,8 +972,8 @@
                               ? milliseconds(*this->AnswerMetadata.RetryAfter)
                               : -1},
        {"leaving", static_cast<std::int64_t>(this->AnswerMetadata.Leaving)},
-       {"last_event", this->Relay.lastId().value_or("")},
-       {"refused_event", this->Relay.refusedId()},
+       {"last_event", printableBytes(this->Relay.lastId().value_or(""))},
+       {"refused_event", printableBytes(this->Relay.refusedId())},
        {"prompt_parts", formatPromptParts(this->Suspects)},
        {"in_flight", Load.InFlight},
        {"slots", Load.Slots},
--- a/Libraries/LibHTTP/MessageRule.cpp
+++ b/Libraries/LibHTTP/MessageRule.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHTTP/MessageRule.h>
 
+#include <LibCore/Utf8.h>
 #include <algorithm>
 
 namespace carobhinge {
@@ -30,19 +31,7 @@
 
 std::string printableBytes(std::string_view Bytes) {
   static constexpr std::size_t MaxBytes = 64;
-  static constexpr std::string_view Digits = "0123456789abcdef";
-  std::string Text;
-  for (char Each : Bytes.substr(0, MaxBytes)) {
-    auto Byte = static_cast<unsigned char>(Each);
-    if (Byte >= ' ' && Byte < 0x7f && Each != '\\') {
-      Text += Each;
-      continue;
-    }
-    Text += "\\x";
-    Text += Digits[Byte / 16];
-    Text += Digits[Byte % 16];
-  }
-  return Text;
+  return escapeBytes(Bytes.substr(0, MaxBytes));
 }
 
 /// Returns all values of the field, as one list.
--- a/Libraries/LibTelemetry/Log.cpp
+++ b/Libraries/LibTelemetry/Log.cpp
@@ -7,8 +7,9 @@
 //===----------------------------------------------------------------------===//
 
 #include <LibTelemetry/Log.h>
-#include <LibTelemetry/LogWriter.h>
 
+#include <LibCore/Utf8.h>
+#include <LibTelemetry/LogWriter.h>
 #include <array>
 #include <boost/json.hpp>
 #include <chrono>
@@ -97,6 +98,12 @@
   }
 }
 
+/// Returns \p Bytes, which may be a stranger's, as text: JSON is UTF-8
+/// (RFC 8259, section 8.1).
+static json::string fieldText(std::string_view Bytes) {
+  return isUtf8(Bytes) ? json::string(Bytes) : json::string(escapeBytes(Bytes));
+}
+
 static json::object lineFields(Severity Level, std::string_view Event,
                                std::initializer_list<LogField> Fields) {
   json::object Line;
@@ -105,7 +112,7 @@
   Line["event"] = Event;
   for (const LogField &Field : Fields) {
     if (const auto *Text = std::get_if<std::string_view>(&Field.Value))
-      Line[Field.Name] = *Text;
+      Line[Field.Name] = fieldText(*Text);
     else
       Line[Field.Name] = std::get<std::int64_t>(Field.Value);
   }
--- a/Libraries/LibTelemetry/Log.h
+++ b/Libraries/LibTelemetry/Log.h
@@ -2,7 +2,8 @@
 ///
 /// \file
 /// Every line is a JSON object with the time, the severity, the host, the name
-/// of the event and its fields. spdlog writes and rotates the files.
+/// of the event and its fields. Text that is no UTF-8 is written as
+/// escapeBytes() returns it. spdlog writes and rotates the files.
 ///
 //===----------------------------------------------------------------------===//
 
--- a/Tests/LibCore/TestUtf8.cpp
+++ b/Tests/LibCore/TestUtf8.cpp
@@ -1,13 +1,15 @@
-//===- Tests/LibCore/TestUtf8.cpp - Tests of isUtf8 -----------------------===//
+//===- Tests/LibCore/TestUtf8.cpp - Bytes and text ------------------------===//
 ///
 /// \file
-/// Guards against bytes that pass as text and make a stored record unreadable.
+/// Guards against bytes that pass as text and make a stored record, or a line
+/// of the log, unreadable.
 ///
 //===----------------------------------------------------------------------===//
 
 #include <LibCore/Utf8.h>
 #include <gtest/gtest.h>
 
+using carobhinge::escapeBytes;
 using carobhinge::isUtf8;
 
 TEST(Utf8, TakesTextOfAllLengths) {
@@ -23,3 +25,11 @@
         "\xe2\x28\xa1"})
     EXPECT_FALSE(isUtf8(Bytes)) << Bytes;
 }
+
+// Guards against bytes that look alike once they are text.
+TEST(Utf8, EscapesAllButPrintableAscii) {
+  EXPECT_EQ(escapeBytes("a b~"), "a b~");
+  EXPECT_EQ(escapeBytes("\xff\x80\r\n"), "\\xff\\x80\\x0d\\x0a");
+  EXPECT_EQ(escapeBytes("\\xff"), "\\x5cxff");
+  EXPECT_EQ(escapeBytes("\u00e9"), "\\xc3\\xa9");
+}
--- a/Tests/LibTelemetry/TestTelemetry.cpp
+++ b/Tests/LibTelemetry/TestTelemetry.cpp
@@ -8,12 +8,14 @@
 ///
 //===----------------------------------------------------------------------===//
 
+#include <LibCore/Utf8.h>
 #include <LibTelemetry/Log.h>
 #include <LibTelemetry/Metrics.h>
 
 #include <boost/json.hpp>
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 #include <thread>
 
 using namespace carobhinge;
@@ -64,3 +66,16 @@
   EXPECT_EQ(Value.at("status").as_int64(), 503);
   EXPECT_EQ(Value.at("severity").as_string(), "warning");
 }
+
+// Guards against a line that no collector can read since a field holds bytes of
+// a caller or an endpoint as they came.
+RC_GTEST_PROP(Log, LineIsTextWhateverBytesAFieldHolds, (std::string Bytes)) {
+  std::string Line =
+      formatLogLine(Severity::Info, "attempt",
+                    {{"last_event", "\xff" + Bytes}, {"refused_event", Bytes}});
+  RC_ASSERT(isUtf8(Line));
+  boost::json::value Value = boost::json::parse(Line);
+  RC_ASSERT(Value.at("last_event").as_string() == escapeBytes("\xff" + Bytes));
+  if (isUtf8(Bytes))
+    RC_ASSERT(Value.at("refused_event").as_string() == Bytes);
+}
--- a/Tests/PlatformProcesses/TestEventIds.cpp
+++ b/Tests/PlatformProcesses/TestEventIds.cpp
@@ -2,15 +2,19 @@
 ///
 /// \file
 /// Guards against streams that are broken off, or brought twice, since the ids
-/// of their events don't count by one. Real processes run in front of endpoints
-/// whose ids rise by one, by seven, by drawn steps and beyond 64 bits.
+/// of their events don't count by one, and against logs that ids make
+/// unreadable. Real processes run in front of endpoints whose ids rise by one,
+/// by seven, by drawn steps and beyond 64 bits.
 ///
 //===----------------------------------------------------------------------===//
 
+#include <LibHTTP/BlockingFetch.h>
 #include <PlatformWorld/LogReader.h>
 #include <PlatformWorld/PlatformVerifyingCaller.h>
 #include <csignal>
+#include <fstream>
 #include <gtest/gtest.h>
+#include <platform/WireNames.h>
 
 using namespace carobhinge;
 using std::chrono::seconds;
@@ -39,6 +43,17 @@
     EXPECT_EQ(this->Caller.findViolations(this->Deployment.executionLog()),
               std::vector<std::string>());
   }
+  /// \returns the length of the longest line of \p Event in any log, in bytes.
+  std::size_t longestLine(const std::string &Event) {
+    std::size_t Longest = 0;
+    for (const std::filesystem::path &Path : this->Deployment.logs()) {
+      std::ifstream File(Path);
+      for (std::string Line; std::getline(File, Line);)
+        if (Line.find("\"event\":\"" + Event + "\"") != std::string::npos)
+          Longest = std::max(Longest, Line.size());
+    }
+    return Longest;
+  }
 
   static constexpr std::size_t FirstEntryHost = 3;
   PlatformDeployment Deployment{PlatformPlan{.TimeoutFactor = 7}};
@@ -78,3 +93,31 @@
   EXPECT_EQ(this->Caller.findViolations(this->Deployment.executionLog()),
             std::vector<std::string>());
 }
+
+// Guards against a line of the log that is no JSON, or as long as the head of a
+// request, since a caller resumes after an id that is no text or names itself
+// so.
+TEST_F(EventIds, ThatAreNoTextLeaveTheLogReadable) {
+  this->Deployment.setEndpointLinks(FirstEntryHost, LinkMode::Cut);
+  LogSummary Summary;
+  PlatformDeployment::waitFor("an attempt is lost", [&] {
+    HttpRequest Request{.Method = "POST",
+                        .Target = "/draft/1",
+                        .Headers = {{"Host", "callers.example"}},
+                        .Body = "{}"};
+    Request.Headers.add(platform::AttemptIdField, "no text \xff\xfe");
+    Request.Headers.add(platform::KeyField, this->Deployment.key());
+    Request.Headers.add(platform::DeadlineField, "5000");
+    Request.Headers.add(platform::ModelField, "pairs");
+    Request.Headers.add(platform::TokensField, "50,80");
+    Request.Headers.add(platform::ResumeField,
+                        "7\xff" + std::string(4096, '7'));
+    blockingFetch(this->Deployment.callerAddress(FirstEntryHost),
+                  std::move(Request));
+    std::vector<std::filesystem::path> Paths = this->Deployment.logs();
+    Summary = readLogs(Paths);
+    return !Summary.Faults.empty() || Summary.Events["attempt"] > 0;
+  });
+  EXPECT_EQ(Summary.Faults, std::vector<std::string>());
+  EXPECT_LT(this->longestLine("attempt"), 2048U);
+}
