Tests: Share the caller and the protocol of whole sessions

Cause: tests of a host without contact to engines need the same two as the tests of standbys, which kept them to themselves.

--- a/Tests/LibEntry/TestStandby.cpp
+++ b/Tests/LibEntry/TestStandby.cpp
@@ -8,8 +8,11 @@
 ///
 //===----------------------------------------------------------------------===//
 
-#include <LibEntry/CallerSession.h>
+#include "PlainProtocol.h"
+#include "RecordingCaller.h"
 
+#include <LibEntry/CallerSession.h>
+#include <array>
 #include <boost/asio.hpp>
 #include <gtest/gtest.h>
 #include <random>
@@ -33,76 +36,6 @@
 
 namespace {
 
-class TestProtocol : public EndpointProtocol {
-public:
-  RequestMetadata readCall(const HttpRequest &) const override {
-    return {.AttemptId = "r1", .Host = "host"};
-  }
-  HttpRequest makeEndpointRequest(const HttpRequest &Call,
-                                  const DispatchMetadata &Data) const override {
-    HttpRequest Request = Call;
-    Request.Headers.add("Resume", Data.ResumeAfter.value_or("0"));
-    return Request;
-  }
-  HttpRequest makePeerRequest(const HttpRequest &Call,
-                              const DispatchMetadata &) const override {
-    return Call;
-  }
-  ResponseMetadata readAnswer(const HttpResponseHead &) const override {
-    return {.AttemptId = "r1", .Signed = true, .IsEventStream = true};
-  }
-  HttpResponseHead
-  makeCallerHead(const HttpResponseHead &Answer) const override {
-    return Answer;
-  }
-  HttpResponseHead makePeerHead(const HttpResponseHead &Answer,
-                                const EndpointName &) const override {
-    return Answer;
-  }
-  void addCatalogVersion(HttpHeaders &, std::uint64_t) const override {}
-  HttpResponse makeRefusal(unsigned Status, std::string_view, std::string_view,
-                           std::optional<Duration>) const override {
-    return {.Status = Status};
-  }
-};
-
-class TestCaller : public HttpExchange {
-public:
-  const HttpRequest &request() const override { return this->Request; }
-  asio::awaitable<void> respond(HttpResponse Response) override {
-    this->Status = Response.Status;
-    co_return;
-  }
-  asio::awaitable<void> startStream(HttpResponseHead) override {
-    ++this->Heads;
-    co_return;
-  }
-  asio::awaitable<void> writeChunk(std::string Data) override {
-    this->Body += Data;
-    co_return;
-  }
-  asio::awaitable<void> finishStream() override {
-    this->IsFinished = true;
-    co_return;
-  }
-  void onCallerDisconnected(std::function<void()> Callback) override {
-    this->OnDisconnected = std::move(Callback);
-  }
-  bool callerDisconnected() const override { return this->IsGone; }
-  void leave() {
-    this->IsGone = true;
-    this->OnDisconnected();
-  }
-
-  HttpRequest Request{.Method = "POST", .Target = "/a/b"};
-  std::function<void()> OnDisconnected;
-  unsigned Status = 0;
-  int Heads = 0;
-  std::string Body;
-  bool IsFinished = false;
-  bool IsGone = false;
-};
-
 /// Sends events as the test tells it to.
 class TestEngine {
 public:
@@ -283,7 +216,7 @@
   std::array<TestEngine, 2> Engines{TestEngine(Context), TestEngine(Context)};
   HostSettings Settings = makeSettings();
   EntryState State{Settings};
-  TestProtocol Protocol;
+  PlainProtocol Protocol;
   HttpClient Client{Context.get_executor(), {.SingleThread = true}};
   Metrics ProcessMetrics;
   SharedByteBudget Budget{std::size_t(16) * 1024 * 1024};
@@ -297,7 +230,7 @@
                         .Limits = Limits,
                         .StandbyCallbacks = {},
                         .ActiveSessions = {}};
-  TestCaller Caller;
+  RecordingCaller Caller;
   bool IsOver = false;
 };
 
