LibEntry: Probe engines only with requests that may be repeated

What callers saw: a host that is cut off from all engines answered a stream with 502, though it hands its requests on to hosts that can serve them.

Cause: during a cut one request in 300 ms tries an engine, and is handed on if it is lost. CallerSession asked the route alone whether the request may be repeated. After two losses with a part of its prompt the guard forbids a repeat until the control hosts have disproved the crashes, so such a request was taken, lost, and could not be handed on. A host that loses contact has just lost several engines in a row, maybe with one request.

Change: isRepeatable() judges the route, the engines that may have run the request, and its prompt. It decides on the probe, on the time limit of a silent probe (which is given up after 500 ms only if it can be handed on) and on each repeat. So a request that must not be repeated is handed on at once, and taken for a probe only if no other comes, as one whose route forbids it always was.

Tests: CutOffHost.DoesNotProbeWithASuspectPrompt (502 before) and AwaitsTheAnswerToAProbeWithASuspectPrompt (502 before) fail without the fix; ProbesWithARequestThatItHandsOnAfterwards passed and passes.

--- a/Libraries/LibEntry/CallerSession.cpp
+++ b/Libraries/LibEntry/CallerSession.cpp
@@ -393,8 +393,7 @@
   EngineContact &Contact = this->contact();
   if (this->AttemptCount == 0 && this->TriedPeers.empty())
     this->IsProbe = Contact.shouldProbe(
-        monotonicNow(), this->MatchedRoute->isSafeToRetry() &&
-                            this->MatchedRoute->EndpointsPerRequest > 1);
+        monotonicNow(), this->isRepeatable(this->PossibleRuns + 1));
   this->HasProbed = this->HasProbed || this->IsProbe;
   bool IsProbing = this->IsProbe && this->AttemptCount == 0;
   return (Contact.isCutOff() && !IsProbing) ||
@@ -411,11 +410,16 @@
 }
 
 bool CallerSession::canHandOn() const {
-  return !this->IsForwarded && this->MatchedRoute->isSafeToRetry() &&
-         this->PossibleRuns + 1 < this->MatchedRoute->EndpointsPerRequest &&
+  return !this->IsForwarded && this->isRepeatable(this->PossibleRuns + 1) &&
          this->Context.State.Peers.choose(this->TriedPeers);
 }
 
+bool CallerSession::isRepeatable(int Runs) const {
+  return this->MatchedRoute->isSafeToRetry() &&
+         Runs < this->MatchedRoute->EndpointsPerRequest &&
+         this->Context.State.Guard.mayRetry(this->Suspects);
+}
+
 void CallerSession::countRequest() {
   if (!std::exchange(this->IsCounted, true))
     this->Context.State.retryBudget(this->TargetService)
@@ -559,12 +563,10 @@
 }
 
 bool CallerSession::canRetry() {
-  if (this->MayHaveRun && !this->MatchedRoute->isSafeToRetry())
+  if (this->MayHaveRun && !this->isRepeatable(this->PossibleRuns))
     return false;
   if (this->PossibleRuns >= this->MatchedRoute->EndpointsPerRequest)
     return false;
-  if (this->MayHaveRun && !this->Context.State.Guard.mayRetry(this->Suspects))
-    return false;
   // If no endpoint has received the request, another attempt adds no load and
   // doesn't count against the budget. A probe that failed is no sign of load.
   if (this->SentAttempts == 0 || (this->HasProbed && this->SentAttempts == 1))
--- a/Libraries/LibEntry/CallerSession.h
+++ b/Libraries/LibEntry/CallerSession.h
@@ -98,6 +98,9 @@
   /// Returns whether the request may be sent to another entry host after the
   /// attempt that begins, and there is one.
   [[nodiscard]] bool canHandOn() const;
+  /// Returns whether one more engine may run the request once \p Runs engines
+  /// may have run it.
+  [[nodiscard]] bool isRepeatable(int Runs) const;
   boost::asio::awaitable<NextStep> forward(const EntryPeer &Peer);
   boost::asio::awaitable<NextStep> finishForward(HttpCallOutcome End);
   /// Performs \p Request with this session as the sink. Returns nothing if the
